--- a/crates/node/src/backend/client.rs
+++ b/crates/node/src/backend/client.rs
@@ -21,6 +21,9 @@
 /// Time after which a load report has failed.
 const LOAD_TIMEOUT: time::Duration = time::Duration::from_millis(1000);
 
+/// A connection whose requests are whole.
+type Connection = connection::Connection<Full<Bytes>>;
+
 /// Connections to backend servers, each used by one request at a time.
 #[derive(Default)]
 pub struct Client {
@@ -30,7 +33,7 @@
 #[derive(Default)]
 struct Connections {
     address: Option<net::SocketAddr>,
-    idle: Vec<connection::Connection>,
+    idle: Vec<Connection>,
     open: sync::Arc<()>,
 }
 
@@ -135,7 +138,7 @@
             .map_err(|_| Error::Broken("timeout".to_string()))?
     }
 
-    async fn connect(&self, target: &Target) -> Result<connection::Connection, Error> {
+    async fn connect(&self, target: &Target) -> Result<Connection, Error> {
         let open = {
             let mut servers = self.lock();
             let entry = servers.entry(target.server.clone()).or_default();
@@ -156,7 +159,7 @@
         connection::Connection::open(target.address, CONNECT_TIMEOUT, open).await
     }
 
-    fn give_back(&self, target: &Target, connection: connection::Connection) {
+    fn give_back(&self, target: &Target, connection: Connection) {
         let mut servers = self.lock();
         let entry = servers.entry(target.server.clone()).or_default();
         if entry.address == Some(target.address) {
--- a/crates/node/src/backend/connection.rs
+++ b/crates/node/src/backend/connection.rs
@@ -1,10 +1,8 @@
 //! One HTTP/1.1 connection to a backend server.
 
-use std::{net, sync, time};
+use std::{error, net, sync, sync::atomic, time};
 
-use bytes::Bytes;
-use http_body_util::Full;
-use hyper::client::conn::http1;
+use hyper::{body, client::conn::http1};
 use hyper_util::rt;
 use tokio::net::TcpStream;
 use tokio_util::task;
@@ -12,20 +10,29 @@
 use super::Error;
 
 /// A connection that carries one request at a time; dropping it closes it.
-pub(super) struct Connection {
-    sender: http1::SendRequest<Full<Bytes>>,
+pub(crate) struct Connection<B> {
+    sender: http1::SendRequest<B>,
+    number: u64,
     idle_since: time::Instant,
     _driver: task::AbortOnDropHandle<()>,
     _open: sync::Arc<()>,
 }
 
-impl Connection {
+/// Number of the next connection.
+static NEXT: atomic::AtomicU64 = atomic::AtomicU64::new(1);
+
+impl<B> Connection<B>
+where
+    B: body::Body + Send + 'static,
+    B::Data: Send,
+    B::Error: Into<Box<dyn error::Error + Send + Sync>>,
+{
     /// Connects; `open` counts the connection for as long as it exists.
-    pub(super) async fn open(
+    pub(crate) async fn open(
         address: net::SocketAddr,
         timeout: time::Duration,
         open: sync::Arc<()>,
-    ) -> Result<Connection, Error> {
+    ) -> Result<Connection<B>, Error> {
         let connect = async {
             let stream = TcpStream::connect(address)
                 .await
@@ -44,6 +51,7 @@
         });
         Ok(Connection {
             sender,
+            number: NEXT.fetch_add(1, atomic::Ordering::Relaxed),
             idle_since: time::Instant::now(),
             _driver: task::AbortOnDropHandle::new(driver),
             _open: open,
@@ -51,9 +59,9 @@
     }
 
     /// Sends a request; [`Error::Connect`] where no byte of it was written.
-    pub(super) async fn send(
+    pub(crate) async fn send(
         &mut self,
-        req: http::Request<Full<Bytes>>,
+        req: http::Request<B>,
     ) -> Result<http::Response<hyper::body::Incoming>, Error> {
         self.sender
             .ready()
@@ -68,8 +76,13 @@
         }
     }
 
+    /// Number of the connection, unique within the process.
+    pub(crate) fn number(&self) -> u64 {
+        self.number
+    }
+
     /// Marks the connection as idle from now on.
-    pub(super) fn rest(self) -> Connection {
+    pub(crate) fn rest(self) -> Connection<B> {
         Connection {
             idle_since: time::Instant::now(),
             ..self
@@ -77,7 +90,7 @@
     }
 
     /// Whether the connection may carry another request.
-    pub(super) fn is_usable(&self, max_idle: time::Duration) -> bool {
+    pub(crate) fn is_usable(&self, max_idle: time::Duration) -> bool {
         !self.sender.is_closed() && self.idle_since.elapsed() < max_idle
     }
 }
--- a/crates/node/src/backend/mod.rs
+++ b/crates/node/src/backend/mod.rs
@@ -1,7 +1,7 @@
 //! Connections to backend servers.
 
 mod client;
-mod connection;
+pub(crate) mod connection;
 mod error;
 mod load;
 
--- /dev/null
+++ b/crates/node/src/gateway/dialect.rs
@@ -0,0 +1,60 @@
+//! Names of the headers that clients and backend servers use.
+
+use http::header;
+
+/// Names of the headers that clients and backend servers use.
+#[derive(Clone, Debug)]
+pub struct Dialect {
+    /// Id of a request, echoed by backend servers.
+    pub request_id: header::HeaderName,
+    /// Time that is left to answer, in milliseconds.
+    pub deadline: header::HeaderName,
+    /// Name of the cookie with the object that a request concerns.
+    pub object_cookie: String,
+    /// Signature of a backend server's answer.
+    pub signature: header::HeaderName,
+    /// Name of the backend server that a request is meant for.
+    pub target: header::HeaderName,
+    /// Load of a backend server.
+    pub load: header::HeaderName,
+    /// Present where a backend server has not run the request.
+    pub not_run: header::HeaderName,
+}
+
+/// Load that a backend server reports.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServerLoad {
+    /// Requests that it runs.
+    pub running: u32,
+    /// Requests that wait in its queue.
+    pub waiting: u32,
+    /// Requests that it runs at a time at most.
+    pub slots: u32,
+}
+
+impl ServerLoad {
+    /// Reads `running,waiting,slots`; nothing where the text has another form.
+    pub fn parse(text: &str) -> Option<ServerLoad> {
+        let mut parts = text.split(',').map(|part| part.trim().parse().ok());
+        let load = ServerLoad {
+            running: parts.next()??,
+            waiting: parts.next()??,
+            slots: parts.next()??,
+        };
+        parts.next().is_none().then_some(load)
+    }
+}
+
+impl Dialect {
+    /// Value of the object's cookie in a request.
+    pub(super) fn object<'a>(&self, headers: &'a header::HeaderMap) -> Option<&'a str> {
+        headers
+            .get_all(header::COOKIE)
+            .iter()
+            .filter_map(|value| value.to_str().ok())
+            .flat_map(|value| value.split(';'))
+            .filter_map(|pair| pair.trim().split_once('='))
+            .find(|(name, _)| *name == self.object_cookie)
+            .map(|(_, value)| value)
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/forward.rs
@@ -0,0 +1,440 @@
+//! One request, from its client to a backend server and back.
+
+use std::{net, sync, time};
+
+use bytes::Bytes;
+use http::header;
+use xxhash_rust::xxh3;
+use yuccatide_steering::{gateway as decisions, matching, model};
+
+use super::{body, error, gateway};
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [header::HeaderName; 8] = [
+    header::CONNECTION,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::EXPECT,
+];
+
+/// Header with the idle time-out of a connection.
+const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
+
+type Reply = http::Response<body::Body>;
+
+/// A request whose head was read.
+struct Job {
+    head: http::request::Parts,
+    id: String,
+    attempt: u128,
+    req: decisions::Request,
+}
+
+/// Gives up a request when its client goes away.
+struct Guard<'a> {
+    gateway: &'a gateway::Gateway,
+    ticket: Option<decisions::Ticket>,
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket {
+            self.gateway.abandon(ticket);
+        }
+    }
+}
+
+/// Serves a request; the answer tells truly whether it has run.
+pub(super) async fn handle(
+    gateway: sync::Arc<gateway::Gateway>,
+    req: http::Request<hyper::body::Incoming>,
+    client: net::IpAddr,
+) -> Reply {
+    let (head, incoming) = req.into_parts();
+    let mut reply = match admit(&gateway, head, client) {
+        Ok(job) => serve(&gateway, job, incoming).await,
+        Err(reply) => *reply,
+    };
+    if gateway.is_stopping() {
+        let close = header::HeaderValue::from_static("close");
+        reply.headers_mut().insert(header::CONNECTION, close);
+    }
+    reply
+}
+
+/// Finds the route and checks the bounds of a request's head.
+fn admit(
+    gateway: &gateway::Gateway,
+    head: http::request::Parts,
+    client: net::IpAddr,
+) -> Result<Job, Box<Reply>> {
+    let now = gateway.clock.now();
+    let host = head.headers.get(header::HOST).and_then(|host| host.to_str().ok());
+    let Some(host) = host.or_else(|| head.uri.host()) else {
+        return Err(Box::new(status(http::StatusCode::BAD_REQUEST, "no Host header")));
+    };
+    let route = match gateway.find(host, head.uri.path()) {
+        decisions::Found::Route(route) => route,
+        decisions::Found::NoRoute => {
+            return Err(Box::new(status(http::StatusCode::NOT_FOUND, "no route")));
+        }
+        decisions::Found::NoPolicy => {
+            let pause = time::Duration::from_millis(500);
+            return Err(Box::new(refusal(decisions::Reason::NoPolicy, pause)));
+        }
+    };
+    check_limits(&gateway.limits(), &head).map_err(|code| Box::new(status(code, "too large")))?;
+    let text = |name: &header::HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
+    let id = text(&gateway.dialect.request_id).unwrap_or_default().to_string();
+    let asked = text(&gateway.dialect.deadline)
+        .and_then(|text| text.trim().parse().ok())
+        .map_or(route.timeout, time::Duration::from_millis);
+    let object = gateway.dialect.object(&head.headers);
+    let service = gateway.arrive(&route, client);
+    let req = decisions::Request {
+        service,
+        object: object.filter(|_| route.has_affinity).map(|o| xxh3::xxh3_64(o.as_bytes())),
+        arrived: now,
+        deadline: now + asked.min(route.timeout),
+        tried: Vec::new(),
+        route,
+    };
+    Ok(Job {
+        attempt: xxh3::xxh3_128(id.as_bytes()),
+        head,
+        id,
+        req,
+    })
+}
+
+fn check_limits(
+    limits: &decisions::Limits,
+    head: &http::request::Parts,
+) -> Result<(), http::StatusCode> {
+    let size: usize =
+        head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4).sum();
+    if size > limits.max_header_bytes {
+        return Err(http::StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE);
+    }
+    let announced = head
+        .headers
+        .get(header::CONTENT_LENGTH)
+        .and_then(|value| value.to_str().ok()?.parse::<u64>().ok());
+    if announced.is_some_and(|bytes| bytes > limits.max_body_bytes) {
+        return Err(http::StatusCode::PAYLOAD_TOO_LARGE);
+    }
+    Ok(())
+}
+
+async fn serve(gateway: &gateway::Gateway, job: Job, incoming: hyper::body::Incoming) -> Reply {
+    let left = job.req.deadline.saturating_sub(gateway.clock.now());
+    let mut progress = Progress::default();
+    let served = tokio::time::timeout(left, attempts(gateway, job, incoming, &mut progress)).await;
+    match served {
+        Ok(reply) => reply,
+        Err(_) if progress.was_sent => status(http::StatusCode::GATEWAY_TIMEOUT, "timeout"),
+        Err(_) => refusal(decisions::Reason::Overload, time::Duration::from_millis(100)),
+    }
+}
+
+#[derive(Default)]
+struct Progress {
+    /// Whether a backend server may have run the request.
+    was_sent: bool,
+    /// Backend servers that received it.
+    arrivals: u32,
+}
+
+async fn attempts(
+    gateway: &gateway::Gateway,
+    mut job: Job,
+    incoming: hyper::body::Incoming,
+    progress: &mut Progress,
+) -> Reply {
+    let read = match body::read(incoming).await {
+        Ok(read) => read,
+        Err(e) => {
+            log::debug!(request = job.id, error:% = e; "a client's body broke off");
+            return status(http::StatusCode::BAD_REQUEST, "the body broke off");
+        }
+    };
+    let (bytes, mut rest) = match read {
+        body::Read::Whole(bytes) => (bytes, None),
+        body::Read::Partial(bytes, rest) => (bytes, Some(rest)),
+    };
+    let is_whole = rest.is_none();
+    loop {
+        let (ticket, rx) = gateway.submit(job.req.clone());
+        let mut guard = Guard { gateway, ticket: Some(ticket) };
+        let decision = match rx.await {
+            Ok(decision) => decision,
+            Err(_) => return refusal(decisions::Reason::Stopping, time::Duration::ZERO),
+        };
+        let (index, entry) = match decision {
+            decisions::Decision::Send(index, entry) => (index, entry),
+            decisions::Decision::Refuse { reason, retry_after } => {
+                guard.ticket = None;
+                return refuse(&job, reason, retry_after);
+            }
+        };
+        progress.was_sent = true;
+        let sending = Sending {
+            gateway,
+            job: &job,
+            index,
+            entry: &entry,
+            number: progress.arrivals + 1,
+        };
+        let body = match rest.take() {
+            None => body::whole(bytes.clone()),
+            Some(rest) => body::chained(bytes.clone(), rest, ()),
+        };
+        let result = send(&sending, body).await;
+        let outcome = match &result {
+            Ok(answer) => answer.outcome,
+            Err(e) => e.outcome(),
+        };
+        guard.ticket = None;
+        gateway.finish(ticket, outcome);
+        let now = gateway.clock.now();
+        progress.arrivals += u32::from(outcome.has_arrived());
+        progress.was_sent = !outcome.is_not_run();
+        if outcome != decisions::Outcome::Answered {
+            log::info!(
+                request = job.id, route = job.req.route.name, server = entry.id,
+                outcome:?, error = result.as_ref().err().map(ToString::to_string),
+                status = result.as_ref().ok().map(|answer| answer.reply.status().as_u16());
+                "a sending did not succeed"
+            );
+        }
+        let next = match outcome.next(&job.req, progress.arrivals, now) {
+            decisions::Next::Retry { .. } if !is_whole => end_of(outcome),
+            decisions::Next::Retry { costs: true } if !gateway.repeat(&job.req.service) => {
+                end_of(outcome)
+            }
+            next => next,
+        };
+        match (next, result) {
+            (decisions::Next::Retry { .. }, _) => job.req.tried.push(index),
+            (decisions::Next::Deliver, Ok(answer)) => return answer.reply,
+            (decisions::Next::Refuse(reason), _) => {
+                return refuse(&job, reason, time::Duration::from_millis(100));
+            }
+            _ => return status(http::StatusCode::BAD_GATEWAY, "the outcome is not known"),
+        }
+    }
+}
+
+/// What follows from an outcome that may not be repeated.
+fn end_of(outcome: decisions::Outcome) -> decisions::Next {
+    match outcome {
+        decisions::Outcome::Failed => decisions::Next::Deliver,
+        _ if outcome.is_not_run() => decisions::Next::Refuse(decisions::Reason::Budget),
+        _ => decisions::Next::Unknown,
+    }
+}
+
+struct Sending<'a> {
+    gateway: &'a gateway::Gateway,
+    job: &'a Job,
+    index: decisions::ServerIndex,
+    entry: &'a decisions::Entry,
+    number: u32,
+}
+
+struct Answer {
+    reply: Reply,
+    outcome: decisions::Outcome,
+}
+
+/// Sends a request to a backend server and reads its answer.
+async fn send(sending: &Sending<'_>, body: body::Body) -> Result<Answer, error::Error> {
+    let Sending { gateway, entry, index, .. } = *sending;
+    let mut connection = gateway.connections.take(index, entry.address).await?;
+    let req = outgoing(sending, body);
+    let attempt = matching::Attempt {
+        id: sending.job.attempt,
+        number: sending.number,
+    };
+    let number = connection.number();
+    gateway.matching(|pending| pending.sent(attempt, number));
+    let unmatch = Unmatch { gateway, number };
+    let response = connection.send(req).await?;
+    let (head, incoming) = response.into_parts();
+    let keep_alive = keep_alive(&head.headers);
+    match body::read(incoming).await.map_err(broken)? {
+        body::Read::Whole(bytes) => {
+            let arrival = arrival(sending, number, &head, bytes.len() as u64);
+            let verdict = gateway.matching(|pending| pending.arrived(arrival));
+            if verdict != matching::Verdict::Deliver(attempt) {
+                return Err(error::Error::Invalid("it does not match the request"));
+            }
+            let outcome = judge(gateway, &head)?;
+            gateway.connections.give_back(index, entry.address, connection, keep_alive);
+            Ok(Answer { reply: reply(head, body::whole(bytes)), outcome })
+        }
+        body::Read::Partial(bytes, rest) => {
+            if names_other(sending, &head) {
+                return Err(error::Error::Invalid("it does not match the request"));
+            }
+            let outcome = judge(gateway, &head)?;
+            drop(unmatch);
+            let body = body::chained(bytes, rest, connection);
+            Ok(Answer { reply: reply(head, body), outcome })
+        }
+    }
+}
+
+/// Forgets a sending that ended without an answer.
+struct Unmatch<'a> {
+    gateway: &'a gateway::Gateway,
+    number: matching::ConnectionId,
+}
+
+impl Drop for Unmatch<'_> {
+    fn drop(&mut self) {
+        self.gateway.matching(|pending| pending.broken(self.number));
+    }
+}
+
+fn broken(e: hyper::Error) -> error::Error {
+    error::Error::Backend(crate::backend::Error::Broken(e.to_string()))
+}
+
+fn arrival(
+    sending: &Sending<'_>,
+    connection: matching::ConnectionId,
+    head: &http::response::Parts,
+    received_bytes: u64,
+) -> matching::Arrival {
+    let named = head.headers.get(&sending.gateway.dialect.request_id);
+    let attempt = named.map(|id| matching::Attempt {
+        id: xxh3::xxh3_128(id.as_bytes()),
+        number: sending.number,
+    });
+    matching::Arrival {
+        connection,
+        attempt,
+        announced_bytes: None,
+        received_bytes,
+        ended: true,
+    }
+}
+
+fn names_other(sending: &Sending<'_>, head: &http::response::Parts) -> bool {
+    let named = head.headers.get(&sending.gateway.dialect.request_id);
+    named.is_some_and(|id| id.as_bytes() != sending.job.id.as_bytes())
+}
+
+/// What a whole answer says, or why it is not one of the backend server.
+fn judge(
+    gateway: &gateway::Gateway,
+    head: &http::response::Parts,
+) -> Result<decisions::Outcome, error::Error> {
+    let dialect = &gateway.dialect;
+    let has = |name: &header::HeaderName| head.headers.contains_key(name);
+    if head.status == http::StatusCode::MISDIRECTED_REQUEST {
+        return Ok(decisions::Outcome::Misdirected);
+    }
+    if has(&dialect.not_run) {
+        return Ok(decisions::Outcome::Shed);
+    }
+    if has(&header::CONTENT_ENCODING) {
+        return Err(error::Error::Invalid("it is encoded"));
+    }
+    if !has(&dialect.request_id) {
+        return Err(error::Error::Invalid("it names no request"));
+    }
+    if head.status.is_success() && !has(&dialect.signature) {
+        return Err(error::Error::Invalid("it is not signed"));
+    }
+    match head.status.is_server_error() {
+        true => Ok(decisions::Outcome::Failed),
+        false => Ok(decisions::Outcome::Answered),
+    }
+}
+
+/// Time after which the backend server closes the idle connection.
+fn keep_alive(headers: &header::HeaderMap) -> Option<time::Duration> {
+    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
+    value
+        .split(',')
+        .filter_map(|part| part.trim().strip_prefix("timeout="))
+        .find_map(|seconds| seconds.trim().parse().ok())
+        .map(time::Duration::from_secs)
+}
+
+fn outgoing(sending: &Sending<'_>, body: body::Body) -> http::Request<body::Body> {
+    let Sending { gateway, job, entry, .. } = sending;
+    let mut req = http::Request::new(body);
+    *req.method_mut() = job.head.method.clone();
+    if let Some(path) = job.head.uri.path_and_query() {
+        *req.uri_mut() = http::Uri::from(path.clone());
+    }
+    *req.headers_mut() = forwarded(&job.head.headers);
+    let left = job.req.deadline.saturating_sub(gateway.clock.now());
+    let left = header::HeaderValue::from(left.as_millis().max(1) as u64);
+    req.headers_mut().insert(gateway.dialect.deadline.clone(), left);
+    match header::HeaderValue::from_str(&entry.id) {
+        Ok(id) => {
+            req.headers_mut().insert(gateway.dialect.target.clone(), id);
+        }
+        Err(e) => log::warn!(server = entry.id, error:% = e; "a server's id fits no header"),
+    }
+    req
+}
+
+/// Headers without those that concern one connection only.
+fn forwarded(headers: &header::HeaderMap) -> header::HeaderMap {
+    let named: Vec<header::HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    headers
+        .iter()
+        .filter(|(name, _)| !HOP_BY_HOP.contains(name) && *name != KEEP_ALIVE)
+        .filter(|(name, _)| !named.contains(name))
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect()
+}
+
+/// The backend server's answer as the client gets it.
+fn reply(head: http::response::Parts, body: body::Body) -> Reply {
+    let mut reply = Reply::new(body);
+    *reply.status_mut() = head.status;
+    *reply.headers_mut() = forwarded(&head.headers);
+    reply
+}
+
+fn refuse(job: &Job, reason: decisions::Reason, retry_after: time::Duration) -> Reply {
+    log::info!(
+        request = job.id, route = job.req.route.name,
+        reason = reason.as_str(), retry_after_ms = retry_after.as_millis() as u64;
+        "a request was refused"
+    );
+    refusal(reason, retry_after)
+}
+
+/// Tells the client that its request has not run and when to come back.
+fn refusal(reason: decisions::Reason, retry_after: time::Duration) -> Reply {
+    let mut reply = status(http::StatusCode::SERVICE_UNAVAILABLE, reason.as_str());
+    let seconds = format!("{:.3}", retry_after.as_secs_f64());
+    if let Ok(seconds) = header::HeaderValue::from_str(&seconds) {
+        reply.headers_mut().insert(header::RETRY_AFTER, seconds);
+    }
+    reply
+}
+
+/// An answer of the host's own.
+fn status(code: http::StatusCode, line: &str) -> Reply {
+    let mut reply = Reply::new(body::whole(Bytes::from(line.to_string() + "\n")));
+    *reply.status_mut() = code;
+    reply
+}
--- /dev/null
+++ b/crates/node/src/gateway/front.rs
@@ -0,0 +1,126 @@
+//! Connections of clients.
+
+use std::{convert, io, net, sync, time};
+
+use hyper::{body, server::conn::http1, service};
+use hyper_util::rt;
+use tokio::net::TcpListener;
+use tokio_util::sync as tokio_sync;
+
+use super::{activity, body as bodies, forward, gateway};
+
+/// Pause after a connection could not be accepted, for lack of descriptors.
+const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
+
+/// Smallest buffer that the HTTP library takes, in bytes.
+const MIN_BUFFER_BYTES: usize = 8 << 10;
+
+/// Time between checks whether a connection is idle.
+const IDLE_CHECK: time::Duration = time::Duration::from_secs(1);
+
+/// Time after the begin of a planned stop for which clients may still come: callers that hold an
+/// earlier look-up go on to use the host.
+const OPEN_AFTER_STOP: time::Duration = time::Duration::from_millis(2000);
+
+/// The clients' side of a gateway.
+pub struct Front {
+    gateway: sync::Arc<gateway::Gateway>,
+    listener: TcpListener,
+}
+
+impl Front {
+    /// Listens for clients.
+    pub async fn bind(
+        address: net::SocketAddr,
+        gateway: sync::Arc<gateway::Gateway>,
+    ) -> io::Result<Front> {
+        let listener = TcpListener::bind(address).await?;
+        Ok(Front { gateway, listener })
+    }
+
+    /// Address that the host listens on.
+    pub fn address(&self) -> io::Result<net::SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Serves clients until `stop`, then finishes their requests.
+    pub async fn serve(self, stop: tokio_sync::CancellationToken) {
+        let tasks = tokio_util::task::TaskTracker::new();
+        let close = tokio_sync::CancellationToken::new();
+        let closing = async {
+            stop.cancelled().await;
+            tokio::time::sleep(OPEN_AFTER_STOP).await;
+        };
+        tokio::pin!(closing);
+        loop {
+            let accepted = tokio::select! {
+                () = &mut closing => break,
+                accepted = self.listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((stream, peer)) => {
+                    let gateway = sync::Arc::clone(&self.gateway);
+                    tasks.spawn(connection(stream, peer, gateway, close.clone()));
+                }
+                Err(e) => {
+                    log::warn!(error:% = e; "a connection was not accepted");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+        drop(self.listener);
+        close.cancel();
+        tasks.close();
+        tasks.wait().await;
+    }
+}
+
+async fn connection(
+    stream: tokio::net::TcpStream,
+    peer: net::SocketAddr,
+    gateway: sync::Arc<gateway::Gateway>,
+    close: tokio_sync::CancellationToken,
+) {
+    if let Err(e) = stream.set_nodelay(true) {
+        log::debug!(client:% = peer, error:% = e; "a connection keeps its delay");
+    }
+    let activity = sync::Arc::new(activity::Activity::new());
+    let in_use = sync::Arc::clone(&activity);
+    let host = sync::Arc::clone(&gateway);
+    let service = service::service_fn(move |req: http::Request<body::Incoming>| {
+        let held = in_use.begin();
+        let host = sync::Arc::clone(&host);
+        async move {
+            let reply = forward::handle(host, req, peer.ip()).await;
+            drop(held);
+            Ok::<http::Response<bodies::Body>, convert::Infallible>(reply)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(rt::TokioTimer::new())
+        .max_buf_size(gateway.limits().max_header_bytes.max(MIN_BUFFER_BYTES))
+        .serve_connection(rt::TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut is_closing = false;
+    loop {
+        tokio::select! {
+            ended = connection.as_mut() => {
+                if let Err(e) = ended {
+                    log::debug!(client:% = peer, error:% = e; "a connection ended early");
+                }
+                return;
+            }
+            () = close.cancelled(), if !is_closing => {
+                is_closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = tokio::time::sleep(IDLE_CHECK), if !is_closing => {
+                let timeout = gateway.limits().idle_timeout;
+                if activity.idle_since().is_some_and(|since| since.elapsed() >= timeout) {
+                    is_closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/gateway/gateway.rs
@@ -0,0 +1,358 @@
+//! State of the gateway and its changes.
+
+use std::{collections, net, sync, time};
+
+use tokio::sync::oneshot;
+use xxhash_rust::xxh3;
+use yuccatide_steering::{gateway as decisions, matching, model};
+
+use super::{arrivals, connections, dialect, update};
+use crate::clock;
+
+/// Time between decisions on requests that wait without an event.
+const TICK: time::Duration = time::Duration::from_millis(20);
+
+/// Time between two sweeps of idle connections.
+const SWEEP: time::Duration = time::Duration::from_millis(500);
+
+/// Settings of a gateway.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// The own host.
+    pub member: decisions::Member,
+    /// Region of each data centre.
+    pub regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
+    /// Bounds on repeated sendings.
+    pub retry: decisions::RetryLimits,
+    /// Part of a region's callers that may move to another region within two seconds.
+    pub max_shift: f64,
+}
+
+/// The HTTP gateway of a host.
+pub struct Gateway {
+    pub(super) dialect: dialect::Dialect,
+    pub(super) clock: clock::Clock,
+    pub(super) connections: connections::Connections,
+    own: model::DataCentreId,
+    settings: Settings,
+    state: sync::Mutex<State>,
+}
+
+struct State {
+    table: decisions::Table,
+    splits: decisions::Splits,
+    pool: decisions::Pool,
+    members: decisions::Members,
+    directory: decisions::Directory,
+    arrivals: arrivals::Arrivals,
+    matching: matching::Pending,
+    replies: collections::HashMap<decisions::Ticket, oneshot::Sender<decisions::Decision>>,
+    is_stopping: bool,
+}
+
+impl Gateway {
+    /// A gateway that knows neither configuration nor backend servers.
+    pub fn new(settings: Settings, dialect: dialect::Dialect) -> Gateway {
+        let own = settings.member.data_centre.clone();
+        let state = State {
+            table: decisions::Table::default(),
+            splits: decisions::Splits::default(),
+            pool: decisions::Pool::new(&own, settings.regions.clone(), settings.retry),
+            members: decisions::Members::new(settings.member.clone()),
+            directory: decisions::Directory::new(settings.max_shift),
+            arrivals: arrivals::Arrivals::default(),
+            matching: matching::Pending::new(),
+            replies: collections::HashMap::new(),
+            is_stopping: false,
+        };
+        Gateway {
+            dialect,
+            clock: clock::Clock::new(),
+            connections: connections::Connections::default(),
+            own,
+            settings,
+            state: sync::Mutex::new(state),
+        }
+    }
+
+    /// Takes news from the platform.
+    pub fn apply(&self, update: update::Update) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        match update {
+            update::Update::Policy(policy) => state.apply_policy(policy),
+            update::Update::Servers(entries) => state.pool.fleet.replace(entries, now),
+            update::Update::Server(entry) => {
+                log::info!(
+                    server = entry.id, service = entry.service,
+                    state:? = entry.state, warmup_ms = entry.warmup_left.as_millis() as u64;
+                    "a backend server registered or changed"
+                );
+                state.pool.fleet.upsert(entry, now);
+            }
+            update::Update::ServerGone(id) => {
+                log::info!(server = id; "the entry of a backend server is gone");
+                state.pool.fleet.remove(&id, now);
+            }
+            update::Update::Evacuated(data_centres) => {
+                if *state.pool.fleet.evacuated() != data_centres {
+                    log::info!(data_centres:?; "evacuated data centres changed");
+                }
+                state.pool.fleet.evacuate(data_centres, now);
+            }
+            update::Update::Members(members) => {
+                members.into_iter().for_each(|member| state.members.learn(member));
+            }
+            update::Update::StoreAnswers(answers) => state.pool.fleet.store_answers(answers, now),
+        }
+        self.decide(&mut state, now);
+    }
+
+    /// Works on what is due, for ever.
+    pub async fn run(&self) {
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        let mut rolled = time::Instant::now();
+        let mut swept = time::Instant::now();
+        loop {
+            tick.tick().await;
+            let now = self.clock.now();
+            let mut state = self.lock();
+            state.pool.fleet.expire(now);
+            if rolled.elapsed() >= arrivals::INTERVAL {
+                rolled = time::Instant::now();
+                state.arrivals.roll();
+            }
+            if state.pool.is_waiting() {
+                self.decide(&mut state, now);
+            }
+            if swept.elapsed() >= SWEEP {
+                swept = time::Instant::now();
+                let is_known = |index| state.pool.fleet.get(index).is_some();
+                self.connections.sweep(is_known);
+            }
+        }
+    }
+
+    /// Whether the host takes requests: it knows a configuration and is not stopping.
+    pub fn is_ready(&self) -> bool {
+        let state = self.lock();
+        state.table.version().is_some() && !state.is_stopping
+    }
+
+    /// Whether the host is stopping.
+    pub fn is_stopping(&self) -> bool {
+        self.lock().is_stopping
+    }
+
+    /// Begins a planned stop: the host leaves the look-ups.
+    pub fn stop(&self) {
+        self.lock().is_stopping = true;
+    }
+
+    /// Addresses of the hosts that a caller should use for a name.
+    pub fn resolve(&self, name: &str, client: &decisions::Client) -> Vec<net::SocketAddr> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.arrivals.locate(client.address, &client.data_centre);
+        let spread = state.spread(name, &self.settings, now);
+        state.directory.step(name, &spread, now);
+        let data_centre = state.directory.choose(name, client);
+        let own_ready = state.table.version().is_some() && !state.is_stopping;
+        let fallbacks = [client.data_centre.as_str(), self.own.as_str()];
+        [data_centre.as_str()]
+            .into_iter()
+            .chain(fallbacks)
+            .chain(self.settings.regions.keys().map(String::as_str))
+            .map(|data_centre| state.members.ready(data_centre, own_ready, now))
+            .find(|members| !members.is_empty())
+            .map(|members| members.into_iter().map(|member| member.callers).collect())
+            .unwrap_or_default()
+    }
+
+    /// Messages to other hosts that are due.
+    pub fn messages(&self, sums_up: bool) -> Vec<(net::SocketAddr, decisions::Message)> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let in_flight = state.pool.in_flight();
+        let beat = decisions::Beat {
+            member: self.settings.member.clone(),
+            is_ready: state.table.version().is_some() && !state.is_stopping,
+            in_flight: in_flight.into_iter().map(|(id, count)| (hash(&id), count)).collect(),
+            loads: if sums_up { state.arrivals.loads() } else { Vec::new() },
+        };
+        let mut messages = state.members.beats(&beat);
+        if sums_up {
+            messages.extend(state.members.summaries(&beat, now));
+        }
+        messages
+    }
+
+    /// Takes a message of another host; returns those to pass on.
+    pub fn receive(
+        &self,
+        message: decisions::Message,
+    ) -> Vec<(net::SocketAddr, decisions::Message)> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let passed_on = state.members.receive(message, now);
+        if state.pool.is_waiting() {
+            self.decide(&mut state, now);
+        }
+        passed_on
+    }
+
+    /// Route of a request.
+    pub(super) fn find(&self, host: &str, path: &str) -> decisions::Found {
+        self.lock().table.find(host, path)
+    }
+
+    /// Bounds on what a client may send.
+    pub(super) fn limits(&self) -> decisions::Limits {
+        self.lock().table.limits()
+    }
+
+    /// Picks the service of a new request, and counts it.
+    pub(super) fn arrive(
+        &self,
+        route: &decisions::Route,
+        caller: net::IpAddr,
+    ) -> model::ServiceId {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let service = state.splits.next(route);
+        state.arrivals.count(&service, caller, &self.own);
+        state.pool.first(&service, now);
+        service
+    }
+
+    /// Lets a request wait for a backend server.
+    pub(super) fn submit(
+        &self,
+        req: decisions::Request,
+    ) -> (decisions::Ticket, oneshot::Receiver<decisions::Decision>) {
+        let now = self.clock.now();
+        let (tx, rx) = oneshot::channel();
+        let mut state = self.lock();
+        let ticket = state.pool.submit(req);
+        state.replies.insert(ticket, tx);
+        self.decide(&mut state, now);
+        (ticket, rx)
+    }
+
+    /// Takes the end of a sending.
+    pub(super) fn finish(&self, ticket: decisions::Ticket, outcome: decisions::Outcome) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.pool.finish(ticket, outcome, now);
+        self.decide(&mut state, now);
+    }
+
+    /// Takes that a request is given up.
+    pub(super) fn abandon(&self, ticket: decisions::Ticket) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.replies.remove(&ticket);
+        state.pool.abandon(ticket, now);
+        self.decide(&mut state, now);
+    }
+
+    /// Takes one repeated sending where the retry budget covers it.
+    pub(super) fn repeat(&self, service: &str) -> bool {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let hosts = state.members.known();
+        state.pool.repeat(service, hosts, now)
+    }
+
+    /// Matches answers to sendings.
+    pub(super) fn matching<T>(&self, f: impl FnOnce(&mut matching::Pending) -> T) -> T {
+        f(&mut self.lock().matching)
+    }
+
+    fn decide(&self, state: &mut State, now: model::Time) {
+        if !state.pool.is_waiting() {
+            return;
+        }
+        let others = state.others(now);
+        let senders = state.members.senders(now);
+        for (ticket, decision) in state.pool.decide(&others, senders, now) {
+            if let Some(tx) = state.replies.remove(&ticket)
+                && tx.send(decision).is_err()
+            {
+                // The client went away; its request gives up the slot.
+                state.pool.abandon(ticket, now);
+            }
+        }
+    }
+
+    fn lock(&self) -> sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(sync::PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn apply_policy(&mut self, policy: decisions::Policy) {
+        let version = policy.version;
+        if !self.table.apply(policy) {
+            log::debug!(version; "an older configuration was left out");
+            return;
+        }
+        if let Some(policy) = self.table.policy() {
+            self.splits.retain(policy);
+            self.pool.set_services(&policy.services);
+        }
+        log::info!(version; "a configuration is in force");
+    }
+
+    /// Requests of the other hosts in progress at each backend server.
+    fn others(&self, now: model::Time) -> collections::HashMap<model::ServerId, u32> {
+        let mut by_hash: collections::HashMap<u64, u32> = collections::HashMap::new();
+        for (server, count) in self.members.living(now).flat_map(|beat| &beat.in_flight) {
+            *by_hash.entry(*server).or_default() += count;
+        }
+        self.pool
+            .fleet
+            .iter()
+            .filter_map(|(_, server)| {
+                let count = by_hash.get(&hash(&server.entry.id))?;
+                Some((server.entry.id.clone(), *count))
+            })
+            .collect()
+    }
+
+    /// Room and demand for the services of a name.
+    fn spread(&self, name: &str, settings: &Settings, now: model::Time) -> decisions::Spread {
+        let routes = self.table.routes(name);
+        let services: collections::BTreeSet<model::ServiceId> = routes
+            .iter()
+            .flat_map(|route| &route.parts)
+            .map(|part| part.service.clone())
+            .collect();
+        let mut capacity = collections::BTreeMap::new();
+        for service in &services {
+            for (data_centre, slots) in self.pool.fleet.capacity(service, now) {
+                *capacity.entry(data_centre).or_insert(0.0) += slots;
+            }
+        }
+        capacity.retain(|data_centre, _| {
+            let region = settings.regions.get(data_centre);
+            region.is_some_and(|region| routes.iter().all(|route| route.allows(region)))
+        });
+        let own = self.arrivals.loads();
+        let near = self.members.living(now).flat_map(|beat| &beat.loads);
+        let far = self.members.remote(now).flat_map(|summary| &summary.loads);
+        let mut demand = decisions::demand_of(own.iter().chain(near).chain(far), &services);
+        let mean = demand.values().sum::<f64>() / settings.regions.len().max(1) as f64;
+        for data_centre in settings.regions.keys() {
+            // Before the first measurement all data centres are taken to be alike.
+            demand.entry(data_centre.clone()).or_insert(if mean > 0.0 { 0.0 } else { 1.0 });
+        }
+        decisions::Spread { capacity, demand }
+    }
+}
+
+/// Hash of a backend server's name, the same at all hosts.
+fn hash(server: &str) -> u64 {
+    xxh3::xxh3_64(server.as_bytes())
+}
--- /dev/null
+++ b/crates/node/src/gateway/mod.rs
@@ -0,0 +1,25 @@
+//! The HTTP gateway: clients' requests go to backend servers as they are.
+//!
+//! It knows no platform: names of headers, the feed of configuration and backend servers, and the
+//! form of look-ups are given to it.
+
+mod activity;
+mod arrivals;
+mod body;
+mod connections;
+mod dialect;
+mod error;
+mod follow;
+mod forward;
+mod front;
+mod gateway;
+mod gossip;
+mod update;
+
+pub use body::Body;
+pub use dialect::{Dialect, ServerLoad};
+pub use follow::{Change, Events, Listing, News, Source, SourceError, follow};
+pub use front::Front;
+pub use gateway::{Gateway, Settings};
+pub use gossip::gossip;
+pub use update::Update;
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod daemon;
 pub mod engine;
 pub mod flags;
+pub mod gateway;
 pub mod meter;
 pub mod peer;
 pub mod platform;
--- /dev/null
+++ b/crates/steering/src/gateway/fleet.rs
@@ -0,0 +1,205 @@
+//! The backend servers that a host knows.
+
+use std::{collections, time};
+
+use super::server;
+use crate::model;
+
+/// Name of a backend server's description, unique within the process.
+pub type ServerIndex = u64;
+
+/// Time after the store's return within which living backend servers have registered again (the
+/// platform's promise).
+const RETURN_GRACE: time::Duration = time::Duration::from_millis(2000);
+
+/// The backend servers that a host knows, by data centre and service.
+#[derive(Debug, Default)]
+pub struct Fleet {
+    servers: collections::HashMap<ServerIndex, server::Server>,
+    indices: collections::HashMap<model::ServerId, ServerIndex>,
+    groups: collections::BTreeMap<(model::ServiceId, model::DataCentreId), Vec<ServerIndex>>,
+    evacuated: collections::BTreeSet<model::DataCentreId>,
+    warmups: collections::BTreeMap<model::ServiceId, time::Duration>,
+    next: ServerIndex,
+    /// Since when the store answers again after an outage.
+    store_back: Option<model::Time>,
+    store_down: bool,
+}
+
+impl Fleet {
+    /// Takes one registered backend server.
+    pub fn upsert(&mut self, entry: server::Entry, now: model::Time) {
+        if let Some(known) = self.indices.get(&entry.id).and_then(|i| self.servers.get_mut(i)) {
+            let moved = known.entry.service != entry.service
+                || known.entry.data_centre != entry.data_centre;
+            known.update(entry, now);
+            if moved {
+                self.regroup();
+            }
+            return;
+        }
+        self.next += 1;
+        self.indices.insert(entry.id.clone(), self.next);
+        let key = (entry.service.clone(), entry.data_centre.clone());
+        self.groups.entry(key).or_default().push(self.next);
+        self.servers.insert(self.next, server::Server::new(entry, now));
+    }
+
+    /// Takes that an entry is gone.  While the store is disturbed, living backend servers lose
+    /// their entries too, so that the absence is believed only some time after its return.
+    pub fn remove(&mut self, id: &str, now: model::Time) {
+        let Some(index) = self.indices.get(id).copied() else {
+            return;
+        };
+        if self.doubts_absence(now) {
+            if let Some(server) = self.servers.get_mut(&index) {
+                server.missing_since.get_or_insert(now);
+            }
+            return;
+        }
+        self.forget(index);
+    }
+
+    /// Takes the whole list of registered backend servers.
+    pub fn replace(&mut self, entries: Vec<server::Entry>, now: model::Time) {
+        let listed: collections::HashSet<model::ServerId> =
+            entries.iter().map(|entry| entry.id.clone()).collect();
+        entries.into_iter().for_each(|entry| self.upsert(entry, now));
+        let missing: Vec<model::ServerId> =
+            self.indices.keys().filter(|id| !listed.contains(*id)).cloned().collect();
+        missing.iter().for_each(|id| self.remove(id, now));
+    }
+
+    /// Takes whether the store answers.
+    pub fn store_answers(&mut self, answers: bool, now: model::Time) {
+        if self.store_down && answers {
+            self.store_back = Some(now);
+        }
+        self.store_down = !answers;
+    }
+
+    /// Believes absences that outlasted the store's return.
+    pub fn expire(&mut self, now: model::Time) {
+        if self.doubts_absence(now) {
+            return;
+        }
+        let gone: Vec<ServerIndex> = self
+            .servers
+            .iter()
+            .filter(|(_, server)| server.missing_since.is_some())
+            .map(|(index, _)| *index)
+            .collect();
+        gone.into_iter().for_each(|index| self.forget(index));
+    }
+
+    /// Takes the data centres that must get no requests.  Backend servers of one that is taken
+    /// back may have become cold.
+    pub fn evacuate(
+        &mut self,
+        data_centres: collections::BTreeSet<model::DataCentreId>,
+        now: model::Time,
+    ) {
+        for server in self.servers.values_mut() {
+            let data_centre = &server.entry.data_centre;
+            if self.evacuated.contains(data_centre) && !data_centres.contains(data_centre) {
+                let warmup = self.warmups.get(&server.entry.service).copied();
+                server.chill(now + warmup.unwrap_or_default());
+            }
+        }
+        self.evacuated = data_centres;
+    }
+
+    /// Takes the warm-up times of the services.
+    pub fn set_warmups(
+        &mut self,
+        warmups: collections::BTreeMap<model::ServiceId, time::Duration>,
+    ) {
+        self.warmups = warmups;
+    }
+
+    /// Warm-up time of a service.
+    pub fn warmup(&self, service: &str) -> time::Duration {
+        self.warmups.get(service).copied().unwrap_or_default()
+    }
+
+    /// Data centres that must get no requests.
+    pub fn evacuated(&self) -> &collections::BTreeSet<model::DataCentreId> {
+        &self.evacuated
+    }
+
+    /// Whether a backend server may be given a request, apart from its load.
+    pub fn is_usable(&self, server: &server::Server, now: model::Time) -> bool {
+        server.is_usable(now) && !self.evacuated.contains(&server.entry.data_centre)
+    }
+
+    /// A backend server.
+    pub fn get(&self, index: ServerIndex) -> Option<&server::Server> {
+        self.servers.get(&index)
+    }
+
+    /// A backend server, to change it.
+    pub fn get_mut(&mut self, index: ServerIndex) -> Option<&mut server::Server> {
+        self.servers.get_mut(&index)
+    }
+
+    /// All backend servers.
+    pub fn iter(&self) -> impl Iterator<Item = (ServerIndex, &server::Server)> {
+        self.servers.iter().map(|(index, server)| (*index, server))
+    }
+
+    /// Backend servers of a service in a data centre.
+    pub fn group(&self, service: &str, data_centre: &str) -> &[ServerIndex] {
+        let key = (service.to_string(), data_centre.to_string());
+        self.groups.get(&key).map_or(&[], Vec::as_slice)
+    }
+
+    /// Slots of a service's usable backend servers, by data centre.
+    pub fn capacity(
+        &self,
+        service: &str,
+        now: model::Time,
+    ) -> collections::BTreeMap<model::DataCentreId, f64> {
+        let mut slots = collections::BTreeMap::new();
+        let usable = self
+            .servers
+            .values()
+            .filter(|server| server.entry.service == service && self.is_usable(server, now));
+        for server in usable {
+            *slots.entry(server.entry.data_centre.clone()).or_default() +=
+                f64::from(server.entry.slots);
+        }
+        slots
+    }
+
+    /// Number of known backend servers.
+    pub fn len(&self) -> usize {
+        self.servers.len()
+    }
+
+    /// Whether no backend server is known.
+    pub fn is_empty(&self) -> bool {
+        self.servers.is_empty()
+    }
+
+    fn doubts_absence(&self, now: model::Time) -> bool {
+        self.store_down || self.store_back.is_some_and(|back| now < back + RETURN_GRACE)
+    }
+
+    fn forget(&mut self, index: ServerIndex) {
+        if let Some(server) = self.servers.remove(&index) {
+            self.indices.remove(&server.entry.id);
+            self.regroup();
+        }
+    }
+
+    fn regroup(&mut self) {
+        self.groups.clear();
+        let mut indices: Vec<ServerIndex> = self.servers.keys().copied().collect();
+        indices.sort_unstable();
+        for index in indices {
+            let entry = &self.servers[&index].entry;
+            let key = (entry.service.clone(), entry.data_centre.clone());
+            self.groups.entry(key).or_default().push(index);
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/src/gateway/mod.rs
@@ -0,0 +1,29 @@
+//! Decisions of the HTTP gateway: routes, placement on backend servers, waiting, refusals, retries
+//! and the look-ups that spread clients over data centres.
+
+mod budget;
+mod directory;
+mod estimate;
+mod fleet;
+mod members;
+mod outcome;
+mod placement;
+mod policy;
+mod pool;
+mod request;
+mod server;
+mod split;
+mod table;
+
+pub use budget::RetryBudget;
+pub use directory::{Client, Directory, Spread, demand_of};
+pub use estimate::ServiceTimes;
+pub use fleet::{Fleet, ServerIndex};
+pub use members::{BEAT, Beat, Load, Member, Members, Message, SUMMARY, Summary};
+pub use outcome::{Next, Outcome, Reason};
+pub use policy::{Limits, Part, Policy, Route, Service};
+pub use pool::{Decision, Pool, RetryLimits, Ticket};
+pub use request::Request;
+pub use server::{Entry, Server, ServerState};
+pub use split::Splits;
+pub use table::{Found, Table};
--- /dev/null
+++ b/crates/steering/src/gateway/pool.rs
@@ -0,0 +1,316 @@
+//! Requests that wait for backend servers, and those in progress.
+
+use std::{collections, time};
+
+use super::{budget, estimate, fleet, outcome, placement, policy, request, server};
+use crate::model;
+
+/// Number of a request within the process.
+pub type Ticket = u64;
+
+/// Part of the time that a request has within which it must be expected to be served if it misses
+/// its objective; a longer wait would be held against the client without an offer.
+const LATE_SHARE: f64 = 0.6;
+
+/// Shortest time after which a refused client should come back.
+const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
+
+/// What is done with a request that waits.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// It goes to this backend server.
+    Send(fleet::ServerIndex, server::Entry),
+    /// It is refused; a slot is expected after `retry_after`.
+    Refuse {
+        /// Why.
+        reason: outcome::Reason,
+        /// When the client should come back.
+        retry_after: time::Duration,
+    },
+}
+
+/// Bounds on repeated sendings.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryLimits {
+    /// Repeated sendings for each first one.
+    pub ratio: f64,
+    /// Further repeated sendings in each window, of all hosts together.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: time::Duration,
+}
+
+struct Waiting {
+    ticket: Ticket,
+    req: request::Request,
+}
+
+struct Sent {
+    server: fleet::ServerIndex,
+    req: request::Request,
+    was_warm: bool,
+}
+
+/// Requests that wait for backend servers, and those in progress.
+pub struct Pool {
+    /// Backend servers.
+    pub fleet: fleet::Fleet,
+    times: estimate::ServiceTimes,
+    data_centre: model::DataCentreId,
+    regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
+    waiting: collections::BTreeMap<model::ServiceId, Vec<Waiting>>,
+    sent: collections::HashMap<Ticket, Sent>,
+    budgets: collections::BTreeMap<model::ServiceId, budget::RetryBudget>,
+    services: collections::BTreeMap<model::ServiceId, policy::Service>,
+    limits: RetryLimits,
+    next: Ticket,
+}
+
+impl Pool {
+    /// A pool of a host in a data centre.
+    pub fn new(
+        data_centre: &str,
+        regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
+        limits: RetryLimits,
+    ) -> Pool {
+        Pool {
+            fleet: fleet::Fleet::default(),
+            times: estimate::ServiceTimes::default(),
+            data_centre: data_centre.to_string(),
+            regions,
+            waiting: collections::BTreeMap::new(),
+            sent: collections::HashMap::new(),
+            budgets: collections::BTreeMap::new(),
+            services: collections::BTreeMap::new(),
+            limits,
+            next: 0,
+        }
+    }
+
+    /// Takes a new configuration's services.
+    pub fn set_services(
+        &mut self,
+        services: &collections::BTreeMap<model::ServiceId, policy::Service>,
+    ) {
+        self.services = services.clone();
+        let warmups = services.iter().map(|(name, service)| (name.clone(), service.warmup));
+        self.fleet.set_warmups(warmups.collect());
+    }
+
+    /// Lets a request wait; a decision follows from [`Pool::decide`].
+    pub fn submit(&mut self, req: request::Request) -> Ticket {
+        self.next += 1;
+        let ticket = self.next;
+        let queue = self.waiting.entry(req.service.clone()).or_default();
+        queue.push(Waiting { ticket, req });
+        ticket
+    }
+
+    /// Decides on the requests that wait: those that can still meet their objective first, by
+    /// rank, then by arrival.  `others` are the requests that other hosts of the data centre have
+    /// in progress, `hosts` how many hosts share the bound of cold backend servers.
+    pub fn decide(
+        &mut self,
+        others: &collections::HashMap<model::ServerId, u32>,
+        hosts: usize,
+        now: model::Time,
+    ) -> Vec<(Ticket, Decision)> {
+        let services: Vec<model::ServiceId> = self.waiting.keys().cloned().collect();
+        services
+            .into_iter()
+            .flat_map(|service| self.decide_service(&service, others, hosts, now))
+            .collect()
+    }
+
+    /// Whether any request waits.
+    pub fn is_waiting(&self) -> bool {
+        self.waiting.values().any(|queue| !queue.is_empty())
+    }
+
+    /// Number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.values().map(Vec::len).sum()
+    }
+
+    /// Requests in progress at each backend server.
+    pub fn in_flight(&self) -> collections::BTreeMap<model::ServerId, u32> {
+        self.fleet
+            .iter()
+            .filter(|(_, server)| server.in_flight() > 0)
+            .map(|(_, server)| (server.entry.id.clone(), server.in_flight()))
+            .collect()
+    }
+
+    /// Takes the end of a sending and says what follows; with [`outcome::Next::Retry`] the request
+    /// has to be submitted again.
+    pub fn finish(
+        &mut self,
+        ticket: Ticket,
+        outcome: outcome::Outcome,
+        now: model::Time,
+    ) {
+        let Some(sent) = self.sent.remove(&ticket) else {
+            return;
+        };
+        let warmup = self.fleet.warmup(&sent.req.service);
+        let Some(server) = self.fleet.get_mut(sent.server) else {
+            return;
+        };
+        let Some(took) = server.finished(ticket, outcome, warmup, now) else {
+            return;
+        };
+        if outcome == outcome::Outcome::Answered {
+            learn(&mut self.times, server, &sent, took, now);
+        }
+    }
+
+    /// Takes that a request that waits or is in progress is given up.
+    pub fn abandon(&mut self, ticket: Ticket, now: model::Time) {
+        for queue in self.waiting.values_mut() {
+            queue.retain(|waiting| waiting.ticket != ticket);
+        }
+        self.finish(ticket, outcome::Outcome::Cancelled, now);
+    }
+
+    /// Takes one repeated sending where the retry budget of a service covers it.
+    pub fn repeat(&mut self, service: &str, hosts: usize, now: model::Time) -> bool {
+        self.budget(service).repeat(hosts, now)
+    }
+
+    /// Counts a request's first sending.
+    pub fn first(&mut self, service: &str, now: model::Time) {
+        self.budget(service).first(now);
+    }
+
+    fn budget(&mut self, service: &str) -> &mut budget::RetryBudget {
+        let limits = self.limits;
+        self.budgets
+            .entry(service.to_string())
+            .or_insert_with(|| budget::RetryBudget::new(limits.ratio, limits.slack, limits.window))
+    }
+
+    fn decide_service(
+        &mut self,
+        service: &str,
+        others: &collections::HashMap<model::ServerId, u32>,
+        hosts: usize,
+        now: model::Time,
+    ) -> Vec<(Ticket, Decision)> {
+        let Some(mut queue) = self.waiting.remove(service) else {
+            return Vec::new();
+        };
+        queue.sort_by_key(|waiting| self.order(&waiting.req, now));
+        let interval = self.cold_interval(service, hosts);
+        let mut ahead = collections::HashMap::new();
+        let mut decisions = Vec::new();
+        let mut left = Vec::new();
+        for waiting in queue {
+            let cx = placement::Cx {
+                fleet: &self.fleet,
+                times: &self.times,
+                data_centre: &self.data_centre,
+                regions: &self.regions,
+                others,
+                ahead: &ahead,
+            };
+            let choice = placement::choose(&cx, &waiting.req, now);
+            match verdict(&waiting.req, choice, now) {
+                Verdict::Wait(server) => {
+                    *ahead.entry(server).or_insert(0) += 1;
+                    left.push(waiting);
+                }
+                Verdict::Refuse(reason, retry_after) => {
+                    decisions.push((waiting.ticket, Decision::Refuse { reason, retry_after }));
+                }
+                Verdict::Send(choice) => {
+                    if let Some(entry) = self.start(waiting.ticket, waiting.req, choice, interval, now)
+                    {
+                        decisions.push((waiting.ticket, Decision::Send(choice.server, entry)));
+                    }
+                }
+            }
+        }
+        if !left.is_empty() {
+            self.waiting.insert(service.to_string(), left);
+        }
+        decisions
+    }
+
+    /// Order in which requests get slots.
+    fn order(&self, req: &request::Request, now: model::Time) -> (bool, u32, model::Time) {
+        let warm = time::Duration::from_secs_f64(self.times.expect(&req.route, true));
+        (now + warm > req.objective(), req.route.rank, req.arrived)
+    }
+
+    /// Time between two requests of this host to a cold backend server, so that all hosts together
+    /// keep its bound.
+    fn cold_interval(&self, service: &str, hosts: usize) -> time::Duration {
+        let rate = self.services.get(service).map_or(0.0, |service| service.warmup_rate);
+        match rate > 0.0 {
+            true => time::Duration::from_secs_f64(hosts.max(1) as f64 / rate),
+            false => time::Duration::ZERO,
+        }
+    }
+
+    fn start(
+        &mut self,
+        ticket: Ticket,
+        req: request::Request,
+        choice: placement::Choice,
+        interval: time::Duration,
+        now: model::Time,
+    ) -> Option<server::Entry> {
+        let server = self.fleet.get_mut(choice.server)?;
+        server.sent(ticket, choice.service, interval, now);
+        let entry = server.entry.clone();
+        let was_warm = req.object.is_some_and(|object| server.is_warm_for(object));
+        let server = choice.server;
+        self.sent.insert(ticket, Sent { server, req, was_warm });
+        Some(entry)
+    }
+}
+
+enum Verdict {
+    Send(placement::Choice),
+    Wait(fleet::ServerIndex),
+    Refuse(outcome::Reason, time::Duration),
+}
+
+fn verdict(req: &request::Request, choice: Option<placement::Choice>, now: model::Time) -> Verdict {
+    let Some(choice) = choice else {
+        return Verdict::Refuse(outcome::Reason::NoServer, MIN_RETRY_AFTER);
+    };
+    let wait = time::Duration::from_secs_f64(choice.wait);
+    let done = now + wait + time::Duration::from_secs_f64(choice.service);
+    let has = req.deadline.saturating_sub(req.arrived);
+    let in_time = done <= req.objective() || done <= req.arrived + has.mul_f64(LATE_SHARE);
+    match (choice.wait > 0.0, in_time) {
+        (false, _) => Verdict::Send(choice),
+        (true, true) => Verdict::Wait(choice.server),
+        (true, false) => Verdict::Refuse(outcome::Reason::Overload, wait.max(MIN_RETRY_AFTER)),
+    }
+}
+
+/// Learns service times, the backend server's speed and what its cache holds from an answer.
+fn learn(
+    times: &mut estimate::ServiceTimes,
+    server: &mut server::Server,
+    sent: &Sent,
+    took: time::Duration,
+    now: model::Time,
+) {
+    let route = &sent.req.route;
+    let (warm, cold) = (times.expect(route, true), times.expect(route, false));
+    let speed = server.speed();
+    let seconds = took.as_secs_f64();
+    // Another host may have warmed the object: the time itself tells.
+    let is_warm = sent.was_warm || seconds / speed < (warm * cold).sqrt();
+    if let Some(object) = sent.req.object {
+        server.warmed(object);
+    }
+    if server.is_cold(now) {
+        return;
+    }
+    server.observe(seconds / if is_warm { warm } else { cold });
+    times.observe(&route.name, is_warm, took, speed);
+}
--- /dev/null
+++ b/crates/steering/src/gateway/request.rs
@@ -0,0 +1,30 @@
+//! A request that waits for a backend server.
+
+use std::sync;
+
+use super::{fleet, policy};
+use crate::model;
+
+/// A request that waits for a backend server.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Route.
+    pub route: sync::Arc<policy::Route>,
+    /// Service that serves it.
+    pub service: model::ServiceId,
+    /// Hash of the object that it concerns.
+    pub object: Option<u64>,
+    /// When it arrived.
+    pub arrived: model::Time,
+    /// When its client or its route stops waiting.
+    pub deadline: model::Time,
+    /// Backend servers that it must not be sent to again.
+    pub tried: Vec<fleet::ServerIndex>,
+}
+
+impl Request {
+    /// When an answer loses its full value.
+    pub fn objective(&self) -> model::Time {
+        self.arrived + self.route.objective
+    }
+}
--- /dev/null
+++ b/crates/steering/src/gateway/split.rs
@@ -0,0 +1,61 @@
+//! Division of a route's requests between its parts.
+
+use std::collections;
+
+use super::policy;
+use crate::model;
+
+/// Requests given to each part of each route that has several.
+#[derive(Debug, Default)]
+pub struct Splits {
+    routes: collections::HashMap<model::WorkId, Given>,
+}
+
+#[derive(Debug)]
+struct Given {
+    parts: Vec<policy::Part>,
+    /// Requests owed to each part beyond those that it was given.
+    owed: Vec<f64>,
+}
+
+impl Splits {
+    /// Service of the next request of a route: the part that is owed most.
+    pub fn next(&mut self, route: &policy::Route) -> model::ServiceId {
+        if let [only] = route.parts.as_slice() {
+            return only.service.clone();
+        }
+        let given = self.routes.entry(route.name.clone()).or_insert_with(|| Given::new(route));
+        if given.parts != route.parts {
+            *given = Given::new(route);
+        }
+        given.next()
+    }
+
+    /// Forgets routes that the configuration no longer has.
+    pub fn retain(&mut self, policy: &policy::Policy) {
+        let names: collections::HashSet<&str> =
+            policy.routes.iter().map(|route| route.name.as_str()).collect();
+        self.routes.retain(|name, _| names.contains(name.as_str()));
+    }
+}
+
+impl Given {
+    fn new(route: &policy::Route) -> Given {
+        Given {
+            owed: vec![0.0; route.parts.len()],
+            parts: route.parts.clone(),
+        }
+    }
+
+    fn next(&mut self) -> model::ServiceId {
+        let total: f64 = self.parts.iter().map(|part| part.weight).sum();
+        for (owed, part) in self.owed.iter_mut().zip(&self.parts) {
+            *owed += part.weight / total;
+        }
+        let most = (0..self.owed.len())
+            .max_by(|a, b| self.owed[*a].total_cmp(&self.owed[*b]))
+            .unwrap_or(0);
+        self.owed[most] -= 1.0;
+        self.parts[most].service.clone()
+    }
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod dedup;
 pub mod drain;
+pub mod gateway;
 pub mod link;
 pub mod lookup;
 pub mod matching;
