Spread look-ups by measured demand; build the platform's daemon without the traces' library

Cause: hosts were ready up to 13 s after their start, as the traces' library calibrates the processor's clock in a constructor; callers of rosario stayed there, as one route bound to a region left no data centre in common. Ruled out: processor time of the host's own code (a run without it charged started as late). Change: the daemon's own modules are a feature of the node crate; a route's regions bind the look-ups of its name only where it carries demand; callers are located by blocks.

--- a/crates/node/src/gateway/arrivals.rs
+++ b/crates/node/src/gateway/arrivals.rs
@@ -10,25 +10,54 @@
 /// Weight of a new count in the moving average; it follows demand within about two seconds.
 const WEIGHT: f64 = 0.3;
 
+/// Blocks of callers that a host remembers; of more it takes the callers for its own.
+const MAX_BLOCKS: usize = 4096;
+
+/// Blocks of callers that a host tells others of; they fit a datagram.
+const MAX_TOLD: usize = 256;
+
+/// Service, data centre of the callers, and regions that may serve the route.
+type Key = (model::ServiceId, model::DataCentreId, Vec<model::RegionId>);
+
 /// Requests a second for each service from the callers of each data centre.
 #[derive(Debug, Default)]
 pub(super) struct Arrivals {
-    /// Data centres of callers, by address, as their look-ups name them.
-    callers: collections::HashMap<net::IpAddr, model::DataCentreId>,
-    counts: collections::BTreeMap<(model::ServiceId, model::DataCentreId), u32>,
-    rates: collections::BTreeMap<(model::ServiceId, model::DataCentreId), f64>,
+    /// Data centres of blocks of callers, as their look-ups name them.
+    blocks: collections::BTreeMap<net::IpAddr, model::DataCentreId>,
+    counts: collections::BTreeMap<Key, u32>,
+    rates: collections::BTreeMap<Key, f64>,
 }
 
 impl Arrivals {
     /// Takes where a caller is.
     pub(super) fn locate(&mut self, caller: net::IpAddr, data_centre: &str) {
-        self.callers.insert(caller, data_centre.to_string());
+        self.learn(block_of(caller), data_centre);
+    }
+
+    /// Takes where a block of callers is, as another host knows it.
+    pub(super) fn learn(&mut self, block: net::IpAddr, data_centre: &str) {
+        if self.blocks.get(&block).is_none_or(|known| known != data_centre)
+            && self.blocks.len() < MAX_BLOCKS
+        {
+            self.blocks.insert(block, data_centre.to_string());
+        }
+    }
+
+    /// The blocks of callers that are known.
+    pub(super) fn blocks(&self) -> Vec<(net::IpAddr, model::DataCentreId)> {
+        self.blocks.iter().map(|(block, d)| (*block, d.clone())).take(MAX_TOLD).collect()
     }
 
     /// Counts a request; one of an unknown caller counts for `own`, the host's data centre.
-    pub(super) fn count(&mut self, service: &str, caller: net::IpAddr, own: &str) {
-        let data_centre = self.callers.get(&caller).map_or(own, String::as_str);
-        let key = (service.to_string(), data_centre.to_string());
+    pub(super) fn count(
+        &mut self,
+        service: &str,
+        regions: &[model::RegionId],
+        caller: net::IpAddr,
+        own: &str,
+    ) {
+        let data_centre = self.blocks.get(&block_of(caller)).map_or(own, String::as_str);
+        let key = (service.to_string(), data_centre.to_string(), regions.to_vec());
         *self.counts.entry(key).or_default() += 1;
     }
 
@@ -49,11 +78,24 @@
     pub(super) fn loads(&self) -> Vec<gateway::Load> {
         self.rates
             .iter()
-            .map(|((service, data_centre), rate)| gateway::Load {
+            .map(|((service, data_centre, regions), rate)| gateway::Load {
                 service: service.clone(),
                 data_centre: data_centre.clone(),
+                regions: regions.clone(),
                 rate: *rate,
             })
             .collect()
     }
 }
+
+/// Block of a caller: its /24, or its /48 of the newer protocol.
+fn block_of(caller: net::IpAddr) -> net::IpAddr {
+    match caller {
+        net::IpAddr::V4(address) => {
+            net::IpAddr::V4(net::Ipv4Addr::from(u32::from(address) & !0xff))
+        }
+        net::IpAddr::V6(address) => {
+            net::IpAddr::V6(net::Ipv6Addr::from(u128::from(address) & !((1 << 80) - 1)))
+        }
+    }
+}
--- a/crates/node/src/gateway/body.rs
+++ b/crates/node/src/gateway/body.rs
@@ -3,7 +3,6 @@
 use std::{error, pin, task};
 
 use bytes::{Bytes, BytesMut};
-use http_body::Body as _;
 use http_body_util::{BodyExt, Full, combinators};
 use hyper::body;
 
--- a/crates/node/src/gateway/error.rs
+++ b/crates/node/src/gateway/error.rs
@@ -14,9 +14,6 @@
     /// The answer is not one that the backend server gave to this request.
     #[error("the answer is not valid: {0}")]
     Invalid(&'static str),
-    /// The client's body broke off or could not be read.
-    #[error("the client's body broke off: {0}")]
-    Client(String),
 }
 
 impl Error {
@@ -25,7 +22,6 @@
         match self {
             Error::Backend(e) if e.is_not_run() => gateway::Outcome::Unreachable,
             Error::Backend(_) | Error::Invalid(_) => gateway::Outcome::Broken,
-            Error::Client(_) => gateway::Outcome::Cancelled,
         }
     }
 }
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::header;
 use xxhash_rust::xxh3;
-use yuccatide_steering::{gateway as decisions, matching, model};
+use yuccatide_steering::{gateway as decisions, matching};
 
 use super::{body, error, gateway};
 
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -179,7 +179,8 @@
             member: self.settings.member.clone(),
             is_ready: state.table.version().is_some() && !state.is_stopping,
             in_flight: in_flight.into_iter().map(|(id, count)| (hash(&id), count)).collect(),
-            loads: if sums_up { state.arrivals.loads() } else { Vec::new() },
+            loads: state.arrivals.loads(),
+            blocks: if sums_up { state.arrivals.blocks() } else { Vec::new() },
         };
         let mut messages = state.members.beats(&beat);
         if sums_up {
@@ -195,6 +196,13 @@
     ) -> Vec<(net::SocketAddr, decisions::Message)> {
         let now = self.clock.now();
         let mut state = self.lock();
+        let blocks = match &message {
+            decisions::Message::Beat(beat) => &beat.blocks,
+            decisions::Message::Summary { summary, .. } => &summary.blocks,
+        };
+        for (block, data_centre) in blocks {
+            state.arrivals.learn(*block, data_centre);
+        }
         let passed_on = state.members.receive(message, now);
         if state.pool.is_waiting() {
             self.decide(&mut state, now);
@@ -221,7 +229,7 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let service = state.splits.next(route);
-        state.arrivals.count(&service, caller, &self.own);
+        state.arrivals.count(&service, &route.regions, caller, &self.own);
         state.pool.first(&service, now);
         service
     }
@@ -335,20 +343,27 @@
                 *capacity.entry(data_centre).or_insert(0.0) += slots;
             }
         }
-        capacity.retain(|data_centre, _| {
-            let region = settings.regions.get(data_centre);
-            region.is_some_and(|region| routes.iter().all(|route| route.allows(region)))
-        });
         let own = self.arrivals.loads();
         let near = self.members.living(now).flat_map(|beat| &beat.loads);
         let far = self.members.remote(now).flat_map(|summary| &summary.loads);
-        let mut demand = decisions::demand_of(own.iter().chain(near).chain(far), &services);
+        let loads: Vec<&decisions::Load> = own
+            .iter()
+            .chain(near)
+            .chain(far)
+            .filter(|load| services.contains(&load.service))
+            .collect();
+        let mut demand = decisions::demand_of(&loads);
         let mean = demand.values().sum::<f64>() / settings.regions.len().max(1) as f64;
         for data_centre in settings.regions.keys() {
             // Before the first measurement all data centres are taken to be alike.
             demand.entry(data_centre.clone()).or_insert(if mean > 0.0 { 0.0 } else { 1.0 });
         }
-        decisions::Spread { capacity, demand }
+        decisions::Spread {
+            capacity,
+            demand,
+            bound: decisions::bound_regions(&loads),
+            regions: settings.regions.clone(),
+        }
     }
 }
 
--- a/crates/node/src/telemetry/mod.rs
+++ b/crates/node/src/telemetry/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod logs;
 pub mod metrics;
+#[cfg(feature = "daemon")]
 pub mod traces;
--- a/crates/steering/src/gateway/directory.rs
+++ b/crates/steering/src/gateway/directory.rs
@@ -14,6 +14,10 @@
 /// Window of the permitted shift.
 const SHIFT_WINDOW: time::Duration = time::Duration::from_secs(2);
 
+/// Part of a name's demand from which a route's regions bind its look-ups; a few requests that only
+/// test a route do not.
+const BOUND_SHARE: f64 = 0.02;
+
 /// Golden ratio: its multiples, without their whole parts, are spread evenly.
 const GOLDEN: f64 = 0.618_033_988_749_894_8;
 
@@ -33,6 +37,19 @@
     pub capacity: collections::BTreeMap<model::DataCentreId, f64>,
     /// Requests a second from the callers of each data centre.
     pub demand: collections::BTreeMap<model::DataCentreId, f64>,
+    /// Regions that callers of other regions may be sent to; nothing where they may go anywhere.
+    pub bound: Option<collections::BTreeSet<model::RegionId>>,
+    /// Region of each data centre.
+    pub regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
+}
+
+impl Spread {
+    /// Whether callers of a data centre may be sent to another.
+    fn allows(&self, from: &str, to: &str) -> bool {
+        let (from, to) = (self.regions.get(from), self.regions.get(to));
+        let is_bound = |region| self.bound.as_ref().is_none_or(|bound| bound.contains(region));
+        from == to || to.is_some_and(is_bound)
+    }
 }
 
 /// Shares of each data centre in the callers of another.
@@ -140,14 +157,18 @@
         .map(|data_centre| (data_centre.clone(), fair(data_centre) - demand(data_centre)))
         .filter(|(_, room)| *room > 0.0)
         .collect();
-    let total_room: f64 = room.values().sum();
     spread
         .demand
         .iter()
         .map(|(own, demand)| {
             let kept = (fair(own) / demand.max(f64::MIN_POSITIVE)).min(1.0);
+            let open = room.iter().filter(|(to, _)| spread.allows(own, to));
+            let total_room: f64 = open.clone().map(|(_, room)| room).sum();
+            if total_room <= 0.0 {
+                return (own.clone(), [(own.clone(), 1.0)].into());
+            }
             let mut shares: Shares = [(own.clone(), kept)].into();
-            for (data_centre, room) in &room {
+            for (data_centre, room) in open {
                 *shares.entry(data_centre.clone()).or_default() +=
                     (1.0 - kept) * room / total_room;
             }
@@ -174,14 +195,25 @@
     }
 }
 
-/// Demand summed over data centres' reports, for the services of one name.
-pub fn demand_of<'a>(
-    loads: impl Iterator<Item = &'a members::Load>,
-    services: &collections::BTreeSet<model::ServiceId>,
-) -> collections::BTreeMap<model::DataCentreId, f64> {
+/// Demand summed over reports.
+pub fn demand_of(loads: &[&members::Load]) -> collections::BTreeMap<model::DataCentreId, f64> {
     let mut demand = collections::BTreeMap::new();
-    for load in loads.filter(|load| services.contains(&load.service)) {
+    for load in loads {
         *demand.entry(load.data_centre.clone()).or_default() += load.rate;
     }
     demand
 }
+
+/// Regions that may serve each route with a noticeable part of the demand.
+pub fn bound_regions(loads: &[&members::Load]) -> Option<collections::BTreeSet<model::RegionId>> {
+    let total: f64 = loads.iter().map(|load| load.rate).sum();
+    let mut rates: collections::BTreeMap<&[model::RegionId], f64> = collections::BTreeMap::new();
+    for load in loads.iter().filter(|load| !load.regions.is_empty()) {
+        *rates.entry(&load.regions).or_default() += load.rate;
+    }
+    rates
+        .into_iter()
+        .filter(|(_, rate)| *rate > BOUND_SHARE * total)
+        .map(|(regions, _)| regions.iter().cloned().collect())
+        .reduce(|a: collections::BTreeSet<model::RegionId>, b| a.intersection(&b).cloned().collect())
+}
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -50,15 +50,20 @@
     pub in_flight: Vec<(u64, u32)>,
     /// Requests a second that it receives.
     pub loads: Vec<Load>,
+    /// Blocks of callers and the data centre next to each, as far as it knows.
+    pub blocks: Vec<(net::IpAddr, model::DataCentreId)>,
 }
 
-/// Requests a second for one service from the callers of one data centre.
+/// Requests a second for one service from the callers of one data centre, of routes that the same
+/// regions may serve.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// Service.
     pub service: model::ServiceId,
     /// Data centre of the callers.
     pub data_centre: model::DataCentreId,
+    /// Regions that may serve the requests; empty where all may.
+    pub regions: Vec<model::RegionId>,
     /// Requests a second.
     pub rate: f64,
 }
@@ -72,6 +77,8 @@
     pub members: Vec<Member>,
     /// Requests a second that they receive.
     pub loads: Vec<Load>,
+    /// Blocks of callers and the data centre next to each, as far as the sender knows.
+    pub blocks: Vec<(net::IpAddr, model::DataCentreId)>,
 }
 
 /// A message between hosts.
@@ -150,8 +157,7 @@
             return;
         }
         self.learn(beat.member.clone());
-        let heard = Heard { value: beat, at: now };
-        self.beats.insert(heard.value.member.host.clone(), heard);
+        self.beats.insert(beat.member.host.clone(), Heard { value: beat, at: now });
     }
 
     fn take_summary(
@@ -216,6 +222,7 @@
             data_centre: self.own.data_centre.clone(),
             members: own.into_iter().chain(ready.map(|beat| beat.member.clone())).collect(),
             loads: sum_loads(all.flat_map(|beat| &beat.loads)),
+            blocks: beat.blocks.clone(),
         }
     }
 
@@ -295,16 +302,17 @@
     }
 }
 
-/// Sums loads of the same service and data centre.
+/// Sums loads of the same kind.
 pub fn sum_loads<'a>(loads: impl Iterator<Item = &'a Load>) -> Vec<Load> {
-    let mut sums: collections::BTreeMap<(&str, &str), f64> = collections::BTreeMap::new();
+    let mut sums: collections::BTreeMap<_, f64> = collections::BTreeMap::new();
     for load in loads {
-        *sums.entry((&load.service, &load.data_centre)).or_default() += load.rate;
+        *sums.entry((&load.service, &load.data_centre, &load.regions)).or_default() += load.rate;
     }
     sums.into_iter()
-        .map(|((service, data_centre), rate)| Load {
-            service: service.to_string(),
-            data_centre: data_centre.to_string(),
+        .map(|((service, data_centre, regions), rate)| Load {
+            service: service.clone(),
+            data_centre: data_centre.clone(),
+            regions: regions.clone(),
             rate,
         })
         .collect()
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -16,7 +16,7 @@
 mod table;
 
 pub use budget::RetryBudget;
-pub use directory::{Client, Directory, Spread, demand_of};
+pub use directory::{Client, Directory, Spread, bound_regions, demand_of};
 pub use estimate::ServiceTimes;
 pub use fleet::{Fleet, ServerIndex};
 pub use members::{BEAT, Beat, Load, Member, Members, Message, SUMMARY, Summary};
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -121,11 +121,17 @@
     let full_wait = if server.is_full(now) { mean / f64::from(slots) } else { 0.0 };
     let wait = queue_wait.max(full_wait).max(cold_wait(server, ahead, now));
     let completion = wait + service;
+    // A new backend server is tried with objects that will be its own.
+    let is_first_try = is_preferred && server.is_untried() && wait <= 0.0;
     Choice {
         server: index,
         wait,
         service,
-        score: completion * (1.0 + FAILURE_WEIGHT * server.failure_rate()),
+        score: if is_first_try {
+            0.0
+        } else {
+            completion * (1.0 + FAILURE_WEIGHT * server.failure_rate())
+        },
     }
 }
 
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -82,6 +82,7 @@
     cold_until: model::Time,
     next_cold: model::Time,
     warm: collections::VecDeque<u64>,
+    has_answered: bool,
     /// Since when its entry is missing from the store, where the absence is not yet believed.
     pub(super) missing_since: Option<model::Time>,
 }
@@ -100,6 +101,7 @@
             full_until: model::Time::ZERO,
             next_cold: now,
             warm: collections::VecDeque::new(),
+            has_answered: false,
             missing_since: None,
         }
     }
@@ -231,7 +233,13 @@
         }
     }
 
+    /// Whether it is new to this host: it has answered nothing and has nothing to do.
+    pub fn is_untried(&self) -> bool {
+        !self.has_answered && self.in_flight.is_empty()
+    }
+
     fn healthy(&mut self) {
+        self.has_answered = true;
         self.ejections = 0;
         self.count_failure(0.0);
     }
