Spread an object over two backend servers at most; warm requests first

Ruled out: lost capacity (31 of 40 backend servers hold 136 slots of warm work easily). A second request that starts while the first one still runs is served warm (measured), so that an object counts as loaded from the begin of its first run. Change: two candidates by rendezvous hash, a surcharge for the second one, requests that can meet their objective before others.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -102,7 +102,7 @@
         .and_then(|text| text.trim().parse().ok())
         .map_or(route.timeout, time::Duration::from_millis);
     let object = gateway.dialect.object(&head.headers);
-    let service = gateway.arrive(&route, client);
+    let (service, has_returned) = gateway.arrive(&route, client, asked);
     let req = decisions::Request {
         service,
         object: object
@@ -110,6 +110,7 @@
             .map(|name| object_of(&route, name)),
         arrived: now,
         deadline: now + asked.min(route.timeout),
+        has_returned,
         tried: Vec::new(),
         route,
     };
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -45,6 +45,7 @@
     members: decisions::Members,
     directory: decisions::Directory,
     arrivals: arrivals::Arrivals,
+    returns: decisions::Returns,
     matching: matching::Pending,
     replies: collections::HashMap<decisions::Ticket, oneshot::Sender<decisions::Decision>>,
     is_stopping: bool,
@@ -61,6 +62,7 @@
             members: decisions::Members::new(settings.member.clone()),
             directory: decisions::Directory::new(settings.max_shift),
             arrivals: arrivals::Arrivals::default(),
+            returns: decisions::Returns::default(),
             matching: matching::Pending::new(),
             replies: collections::HashMap::new(),
             is_stopping: false,
@@ -229,8 +231,14 @@
         self.lock().table.limits()
     }
 
-    /// Picks the service of a new request, and counts it.
-    pub(super) fn arrive(&self, route: &decisions::Route, caller: net::IpAddr) -> model::ServiceId {
+    /// Picks the service of a new request, which has `asked` left, and counts it; tells also
+    /// whether the client seems to have come back after a refusal.
+    pub(super) fn arrive(
+        &self,
+        route: &decisions::Route,
+        caller: net::IpAddr,
+        asked: time::Duration,
+    ) -> (model::ServiceId, bool) {
         let now = self.clock.now();
         let mut state = self.lock();
         let service = state.splits.next(route);
@@ -239,7 +247,8 @@
             .arrivals
             .count(&service, route, work, caller, &self.own);
         state.pool.first(&service, now);
-        service
+        let has_returned = state.returns.has_returned(route, asked);
+        (service, has_returned)
     }
 
     /// Lets a request wait for a backend server.
@@ -318,6 +327,7 @@
         }
         if let Some(policy) = self.table.policy() {
             self.splits.retain(policy);
+            self.returns.retain(policy);
             self.pool.set_services(&policy.services);
         }
         log::info!(version; "a configuration is in force");
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -14,6 +14,14 @@
 /// Weight of a backend server's failure rate against its expected completion time.
 const FAILURE_WEIGHT: f64 = 4.0;
 
+/// Weight of the additional work of a cold request at another backend server than the preferred
+/// one: it takes slots from other requests and displaces other objects from the cache.
+const SPREAD_WEIGHT: f64 = 1.0;
+
+/// Backend servers of a data centre that requests for one object are spread over at most: each
+/// further one loads it into its cache and displaces others.
+const CANDIDATES: usize = 2;
+
 /// What a choice takes into account besides the backend servers.
 pub(super) struct Cx<'a> {
     /// Backend servers.
@@ -84,13 +92,9 @@
     usable: &[fleet::ServerIndex],
     now: model::Time,
 ) -> Option<Choice> {
-    let preferred = req.object.and_then(|object| {
-        usable
-            .iter()
-            .copied()
-            .max_by_key(|index| cx.fleet.get(*index).map(|s| weight(&s.entry.id, object)))
-    });
-    usable
+    let ranked = candidates(cx, req, usable);
+    let preferred = req.object.and_then(|_| ranked.first().copied());
+    ranked
         .iter()
         .filter_map(|index| {
             let server = cx.fleet.get(*index)?;
@@ -106,6 +110,28 @@
         .min_by(|a, b| a.score.total_cmp(&b.score))
 }
 
+/// Backend servers that a request is given to, the preferred one first; all where it concerns no
+/// object.
+fn candidates(
+    cx: &Cx<'_>,
+    req: &request::Request,
+    usable: &[fleet::ServerIndex],
+) -> Vec<fleet::ServerIndex> {
+    let Some(object) = req.object else {
+        return usable.to_vec();
+    };
+    let mut weighed: Vec<(u64, fleet::ServerIndex)> = usable
+        .iter()
+        .filter_map(|index| Some((weight(&cx.fleet.get(*index)?.entry.id, object), *index)))
+        .collect();
+    weighed.sort_unstable_by_key(|weighed| std::cmp::Reverse(*weighed));
+    weighed
+        .into_iter()
+        .take(CANDIDATES)
+        .map(|(_, index)| index)
+        .collect()
+}
+
 fn judge(
     cx: &Cx<'_>,
     req: &request::Request,
@@ -135,7 +161,11 @@
         0.0
     };
     let wait = queue_wait.max(full_wait).max(cold_wait(server, ahead, now));
-    let completion = wait + service;
+    let spread = match is_preferred {
+        true => 0.0,
+        false => SPREAD_WEIGHT * (service - warm),
+    };
+    let completion = wait + service + spread;
     // A new backend server is tried with objects that will be its own.
     let is_first_try = is_preferred && server.is_untried() && wait <= 0.0;
     Choice {
--- a/crates/steering/src/gateway/pool.rs
+++ b/crates/steering/src/gateway/pool.rs
@@ -12,6 +12,9 @@
 /// its objective; a longer wait would be held against the client without an offer.
 const LATE_SHARE: f64 = 0.6;
 
+/// The same for a request that was refused before: a second refusal is worse than a late answer.
+const RETURNED_SHARE: f64 = 0.9;
+
 /// Shortest time after which a refused client should come back.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
 
@@ -43,6 +46,9 @@
 struct Waiting {
     ticket: Ticket,
     req: request::Request,
+    /// Service time at the backend server that it would be given to; nothing before the first
+    /// decision.
+    service: Option<f64>,
 }
 
 struct Sent {
@@ -104,7 +110,11 @@
         self.next += 1;
         let ticket = self.next;
         let queue = self.waiting.entry(req.service.clone()).or_default();
-        queue.push(Waiting { ticket, req });
+        queue.push(Waiting {
+            ticket,
+            req,
+            service: None,
+        });
         ticket
     }
 
@@ -201,12 +211,12 @@
         let Some(mut queue) = self.waiting.remove(service) else {
             return Vec::new();
         };
-        queue.sort_by_key(|waiting| self.order(&waiting.req, now));
+        queue.sort_by_key(|waiting| self.order(waiting, now));
         let interval = self.cold_interval(service, hosts);
         let mut ahead = collections::HashMap::new();
         let mut decisions = Vec::new();
         let mut left = Vec::new();
-        for waiting in queue {
+        for mut waiting in queue {
             let cx = placement::Cx {
                 fleet: &self.fleet,
                 times: &self.times,
@@ -216,7 +226,9 @@
                 ahead: &ahead,
             };
             let choice = placement::choose(&cx, &waiting.req, now);
-            match verdict(&waiting.req, choice, now) {
+            let is_new = waiting.service.is_none();
+            waiting.service = choice.map(|choice| choice.service);
+            match verdict(&waiting.req, choice, is_new, now) {
                 Verdict::Wait(server) => {
                     *ahead.entry(server).or_insert(0) += 1;
                     left.push(waiting);
@@ -245,10 +257,20 @@
         decisions
     }
 
-    /// Order in which requests get slots.
-    fn order(&self, req: &request::Request, now: model::Time) -> (bool, u32, model::Time) {
-        let warm = time::Duration::from_secs_f64(self.times.expect(&req.route, true));
-        (now + warm > req.objective(), req.route.rank, req.arrived)
+    /// Order in which requests get slots: those that can still meet their objective, by rank; of
+    /// equal ones those that were refused before.
+    fn order(&self, waiting: &Waiting, now: model::Time) -> (bool, u32, bool, model::Time) {
+        let req = &waiting.req;
+        let service = waiting
+            .service
+            .unwrap_or_else(|| self.times.expect(&req.route, true));
+        let done = now + time::Duration::from_secs_f64(service);
+        (
+            done > req.objective(),
+            req.route.rank,
+            !req.has_returned,
+            req.arrived,
+        )
     }
 
     /// Time between two requests of this host to a cold backend server, so that all hosts together
@@ -273,9 +295,9 @@
         now: model::Time,
     ) -> Option<server::Entry> {
         let server = self.fleet.get_mut(choice.server)?;
-        server.sent(ticket, choice.service, interval, now);
-        let entry = server.entry.clone();
         let was_warm = req.object.is_some_and(|object| server.is_warm_for(object));
+        server.sent(ticket, req.object, choice.service, interval, now);
+        let entry = server.entry.clone();
         let server = choice.server;
         self.sent.insert(
             ticket,
@@ -295,18 +317,30 @@
     Refuse(outcome::Reason, time::Duration),
 }
 
-fn verdict(req: &request::Request, choice: Option<placement::Choice>, now: model::Time) -> Verdict {
+fn verdict(
+    req: &request::Request,
+    choice: Option<placement::Choice>,
+    is_new: bool,
+    now: model::Time,
+) -> Verdict {
     let Some(choice) = choice else {
         return Verdict::Refuse(outcome::Reason::NoServer, MIN_RETRY_AFTER);
     };
+    if choice.wait <= 0.0 {
+        return Verdict::Send(choice);
+    }
     let wait = time::Duration::from_secs_f64(choice.wait);
     let done = now + wait + time::Duration::from_secs_f64(choice.service);
     let has = req.deadline.saturating_sub(req.arrived);
-    let in_time = done <= req.objective() || done <= req.arrived + has.mul_f64(LATE_SHARE);
-    match (choice.wait > 0.0, in_time) {
-        (false, _) => Verdict::Send(choice),
-        (true, true) => Verdict::Wait(choice.server),
-        (true, false) => Verdict::Refuse(outcome::Reason::Overload, wait.max(MIN_RETRY_AFTER)),
+    // Once it waits, a request is refused only where it can no longer be served.
+    let latest = match (is_new, req.has_returned) {
+        (true, false) => req.objective().max(req.arrived + has.mul_f64(LATE_SHARE)),
+        (true, true) => req.arrived + has.mul_f64(RETURNED_SHARE),
+        (false, _) => req.deadline,
+    };
+    match done <= latest {
+        true => Verdict::Wait(choice.server),
+        false => Verdict::Refuse(outcome::Reason::Overload, wait.max(MIN_RETRY_AFTER)),
     }
 }
 
@@ -324,9 +358,6 @@
     let seconds = took.as_secs_f64();
     // Another host may have warmed the object: the time itself tells.
     let is_warm = sent.was_warm || seconds / speed < (warm * cold).sqrt();
-    if let Some(object) = sent.req.object {
-        server.warmed(object);
-    }
     if server.is_cold(now) {
         return;
     }
--- a/crates/steering/src/gateway/request.rs
+++ b/crates/steering/src/gateway/request.rs
@@ -18,6 +18,8 @@
     pub arrived: model::Time,
     /// When its client or its route stops waiting.
     pub deadline: model::Time,
+    /// Whether its client seems to have come back after a refusal.
+    pub has_returned: bool,
     /// Backend servers that it must not be sent to again.
     pub tried: Vec<fleet::ServerIndex>,
 }
--- /dev/null
+++ b/crates/steering/src/gateway/returns.rs
@@ -0,0 +1,35 @@
+//! Recognition of clients that come back after a refusal.
+
+use std::{collections, time};
+
+use super::policy;
+use crate::model;
+
+/// Part of a route's usual time to answer below which a request is taken to be a repeated one: its
+/// client has spent the rest on a refusal and the pause after it.
+const RETURNED: f64 = 0.9;
+
+/// The usual time to answer that clients of each route begin with.
+#[derive(Debug, Default)]
+pub struct Returns {
+    usual: collections::HashMap<model::WorkId, time::Duration>,
+}
+
+impl Returns {
+    /// Whether a request that has `left` to be answered seems to be a repeated one.
+    pub fn has_returned(&mut self, route: &policy::Route, left: time::Duration) -> bool {
+        let usual = self.usual.entry(route.name.clone()).or_default();
+        *usual = (*usual).max(left);
+        left < usual.mul_f64(RETURNED)
+    }
+
+    /// Forgets routes that the configuration no longer has.
+    pub fn retain(&mut self, policy: &policy::Policy) {
+        let names: collections::HashSet<&str> = policy
+            .routes
+            .iter()
+            .map(|route| route.name.as_str())
+            .collect();
+        self.usual.retain(|name, _| names.contains(name.as_str()));
+    }
+}
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -64,6 +64,7 @@
 #[derive(Clone, Copy, Debug)]
 struct InFlight {
     ticket: pool::Ticket,
+    object: Option<u64>,
     since: model::Time,
     expected: f64,
 }
@@ -185,19 +186,23 @@
     }
 
     /// Records a sending; `interval` is the time between two requests of this host to a cold
-    /// backend server.
+    /// backend server.  It loads the object at once: a second request finds it in the cache while
+    /// the first one still runs.
     pub(super) fn sent(
         &mut self,
         ticket: pool::Ticket,
+        object: Option<u64>,
         expected: f64,
         interval: time::Duration,
         now: model::Time,
     ) {
         self.in_flight.push(InFlight {
             ticket,
+            object,
             since: now,
             expected,
         });
+        object.into_iter().for_each(|object| self.warmed(object));
         self.next_cold = now + interval;
     }
 
@@ -210,7 +215,11 @@
         now: model::Time,
     ) -> Option<time::Duration> {
         let at = self.in_flight.iter().position(|f| f.ticket == ticket)?;
-        let took = now.saturating_sub(self.in_flight.swap_remove(at).since);
+        let sent = self.in_flight.swap_remove(at);
+        let took = now.saturating_sub(sent.since);
+        if outcome.is_not_run() {
+            self.warm.retain(|known| Some(*known) != sent.object);
+        }
         match outcome {
             outcome::Outcome::Answered => self.healthy(),
             outcome::Outcome::Failed | outcome::Outcome::Broken => self.count_failure(1.0),
@@ -229,7 +238,7 @@
     }
 
     /// Records that it has the object in its cache.
-    pub(super) fn warmed(&mut self, object: u64) {
+    fn warmed(&mut self, object: u64) {
         self.warm.retain(|known| *known != object);
         self.warm.push_back(object);
         if self.warm.len() > WARM_OBJECTS {
