Count what other hosts have at a backend server by its reports; decide with less work

Cause: hosts of an evacuated data centre sent to their neighbour's backend servers without knowing of each other's requests; hosts used up to half of their processor share on decisions; requests with too little time left were sent and given up half done. Change: the load header counts for a quarter of a second, in-flight reports are taken when they arrive, requests without time for their service are refused.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3;
 use yuccatide_steering::{gateway as decisions, matching};
 
-use super::{body, error, gateway};
+use super::{body, dialect, error, gateway};
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [header::HeaderName; 8] = [
@@ -227,7 +227,11 @@
             Err(e) => e.outcome(),
         };
         guard.ticket = None;
-        gateway.finish(ticket, outcome);
+        let load = result
+            .as_ref()
+            .ok()
+            .and_then(|answer| load_of(gateway, &answer.reply));
+        gateway.finish(ticket, outcome, load);
         let now = gateway.clock.now();
         progress.arrivals += u32::from(outcome.has_arrived());
         progress.was_sent = !outcome.is_not_run();
@@ -266,6 +270,12 @@
     }
 }
 
+/// Load that a backend server reports with its answer.
+fn load_of(gateway: &gateway::Gateway, reply: &Reply) -> Option<dialect::ServerLoad> {
+    let text = reply.headers().get(&gateway.dialect.load)?.to_str().ok()?;
+    dialect::ServerLoad::parse(text)
+}
+
 struct Sending<'a> {
     gateway: &'a gateway::Gateway,
     job: &'a Job,
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -3,7 +3,6 @@
 use std::{collections, net, sync, time};
 
 use tokio::sync::oneshot;
-use xxhash_rust::xxh3;
 use yuccatide_steering::{gateway as decisions, matching, model};
 
 use super::{arrivals, connections, dialect, update};
@@ -182,10 +181,7 @@
         let beat = decisions::Beat {
             member: self.settings.member.clone(),
             is_ready: state.table.version().is_some() && !state.is_stopping,
-            in_flight: in_flight
-                .into_iter()
-                .map(|(id, count)| (hash(&id), count))
-                .collect(),
+            in_flight,
             loads: state.arrivals.loads(),
             blocks: if sums_up {
                 state.arrivals.blocks()
@@ -215,6 +211,7 @@
             state.arrivals.learn(*block, data_centre);
         }
         let passed_on = state.members.receive(message, now);
+        state.take_told(now);
         if state.pool.is_waiting() {
             self.decide(&mut state, now);
         }
@@ -265,10 +262,18 @@
         (ticket, rx)
     }
 
-    /// Takes the end of a sending.
-    pub(super) fn finish(&self, ticket: decisions::Ticket, outcome: decisions::Outcome) {
+    /// Takes the end of a sending, with the load that the backend server reported.
+    pub(super) fn finish(
+        &self,
+        ticket: decisions::Ticket,
+        outcome: decisions::Outcome,
+        load: Option<dialect::ServerLoad>,
+    ) {
         let now = self.clock.now();
         let mut state = self.lock();
+        if let Some(load) = load {
+            state.pool.report(ticket, load.running + load.waiting, now);
+        }
         state.pool.finish(ticket, outcome, now);
         self.decide(&mut state, now);
     }
@@ -299,9 +304,8 @@
         if !state.pool.is_waiting() {
             return;
         }
-        let others = state.others(now);
         let senders = state.members.senders(now);
-        for (ticket, decision) in state.pool.decide(&others, senders, now) {
+        for (ticket, decision) in state.pool.decide(senders, now) {
             if let Some(tx) = state.replies.remove(&ticket)
                 && tx.send(decision).is_err()
             {
@@ -333,20 +337,13 @@
         log::info!(version; "a configuration is in force");
     }
 
-    /// Requests of the other hosts in progress at each backend server.
-    fn others(&self, now: model::Time) -> collections::HashMap<model::ServerId, u32> {
-        let mut by_hash: collections::HashMap<u64, u32> = collections::HashMap::new();
+    /// Takes what the other hosts of the data centre have in progress.
+    fn take_told(&mut self, now: model::Time) {
+        let mut told: collections::HashMap<u64, u32> = collections::HashMap::new();
         for (server, count) in self.members.living(now).flat_map(|beat| &beat.in_flight) {
-            *by_hash.entry(*server).or_default() += count;
+            *told.entry(*server).or_default() += count;
         }
-        self.pool
-            .fleet
-            .iter()
-            .filter_map(|(_, server)| {
-                let count = by_hash.get(&hash(&server.entry.id))?;
-                Some((server.entry.id.clone(), *count))
-            })
-            .collect()
+        self.pool.fleet.set_told(&told);
     }
 
     /// Room and demand for the services of a name.
@@ -376,8 +373,3 @@
         }
     }
 }
-
-/// Hash of a backend server's name, the same at all hosts.
-fn hash(server: &str) -> u64 {
-    xxh3::xxh3_64(server.as_bytes())
-}
--- a/crates/steering/src/gateway/fleet.rs
+++ b/crates/steering/src/gateway/fleet.rs
@@ -12,12 +12,15 @@
 /// platform's promise).
 const RETURN_GRACE: time::Duration = time::Duration::from_millis(2000);
 
+/// Backend servers of a service, by data centre.
+type Groups = collections::BTreeMap<model::DataCentreId, Vec<ServerIndex>>;
+
 /// The backend servers that a host knows, by data centre and service.
 #[derive(Debug, Default)]
 pub struct Fleet {
     servers: collections::HashMap<ServerIndex, server::Server>,
     indices: collections::HashMap<model::ServerId, ServerIndex>,
-    groups: collections::BTreeMap<(model::ServiceId, model::DataCentreId), Vec<ServerIndex>>,
+    groups: collections::BTreeMap<model::ServiceId, Groups>,
     evacuated: collections::BTreeSet<model::DataCentreId>,
     warmups: collections::BTreeMap<model::ServiceId, time::Duration>,
     next: ServerIndex,
@@ -44,10 +47,10 @@
         }
         self.next += 1;
         self.indices.insert(entry.id.clone(), self.next);
-        let key = (entry.service.clone(), entry.data_centre.clone());
-        self.groups.entry(key).or_default().push(self.next);
-        self.servers
-            .insert(self.next, server::Server::new(entry, now));
+        let mut server = server::Server::new(entry, now);
+        server.is_evacuated = self.evacuated.contains(&server.entry.data_centre);
+        self.servers.insert(self.next, server);
+        self.regroup();
     }
 
     /// Takes that an entry is gone.  While the store is disturbed, living backend servers lose
@@ -111,11 +114,12 @@
         now: model::Time,
     ) {
         for server in self.servers.values_mut() {
-            let data_centre = &server.entry.data_centre;
-            if self.evacuated.contains(data_centre) && !data_centres.contains(data_centre) {
+            let data_centre = server.entry.data_centre.clone();
+            if self.evacuated.contains(&data_centre) && !data_centres.contains(&data_centre) {
                 let warmup = self.warmups.get(&server.entry.service).copied();
                 server.chill(now + warmup.unwrap_or_default());
             }
+            server.is_evacuated = data_centres.contains(&data_centre);
         }
         self.evacuated = data_centres;
     }
@@ -138,9 +142,12 @@
         &self.evacuated
     }
 
-    /// Whether a backend server may be given a request, apart from its load.
-    pub fn is_usable(&self, server: &server::Server, now: model::Time) -> bool {
-        server.is_usable(now) && !self.evacuated.contains(&server.entry.data_centre)
+    /// Takes the requests that other hosts of the data centre have in progress, by the hash of the
+    /// backend server's name.
+    pub fn set_told(&mut self, told: &collections::HashMap<u64, u32>) {
+        for server in self.servers.values_mut() {
+            server.told = told.get(&server.hash).copied().unwrap_or(0);
+        }
     }
 
     /// A backend server.
@@ -160,8 +167,10 @@
 
     /// Backend servers of a service in a data centre.
     pub fn group(&self, service: &str, data_centre: &str) -> &[ServerIndex] {
-        let key = (service.to_string(), data_centre.to_string());
-        self.groups.get(&key).map_or(&[], Vec::as_slice)
+        self.groups
+            .get(service)
+            .and_then(|groups| groups.get(data_centre))
+            .map_or(&[], Vec::as_slice)
     }
 
     /// Slots of a service's usable backend servers, by data centre.
@@ -174,7 +183,7 @@
         let usable = self
             .servers
             .values()
-            .filter(|server| server.entry.service == service && self.is_usable(server, now));
+            .filter(|server| server.entry.service == service && server.is_usable(now));
         for server in usable {
             *slots.entry(server.entry.data_centre.clone()).or_default() +=
                 f64::from(server.entry.slots);
@@ -212,8 +221,11 @@
         indices.sort_unstable();
         for index in indices {
             let entry = &self.servers[&index].entry;
-            let key = (entry.service.clone(), entry.data_centre.clone());
-            self.groups.entry(key).or_default().push(index);
+            let groups = self.groups.entry(entry.service.clone()).or_default();
+            groups
+                .entry(entry.data_centre.clone())
+                .or_default()
+                .push(index);
         }
     }
 }
--- a/crates/steering/src/gateway/outcome.rs
+++ b/crates/steering/src/gateway/outcome.rs
@@ -30,6 +30,8 @@
 pub enum Reason {
     /// No slot is expected in time.
     Overload,
+    /// Too little time is left to serve it.
+    Deadline,
     /// No usable backend server is known.
     NoServer,
     /// No configuration is known yet.
@@ -47,6 +49,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Reason::Overload => "overload",
+            Reason::Deadline => "deadline",
             Reason::NoServer => "no-server",
             Reason::NoPolicy => "no-policy",
             Reason::Attempts => "attempts",
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -32,8 +32,6 @@
     pub data_centre: &'a str,
     /// Region of each data centre.
     pub regions: &'a collections::BTreeMap<model::DataCentreId, model::RegionId>,
-    /// Requests of the other hosts in progress at each backend server.
-    pub others: &'a collections::HashMap<model::ServerId, u32>,
     /// Requests that wait for each backend server and go first.
     pub ahead: &'a collections::HashMap<fleet::ServerIndex, u32>,
 }
@@ -52,91 +50,57 @@
 
 /// Backend server with the earliest expected completion, in the nearest data centre that has any.
 pub(super) fn choose(cx: &Cx<'_>, req: &request::Request, now: model::Time) -> Option<Choice> {
-    tiers(cx, req).into_iter().find_map(|data_centres| {
-        let usable: Vec<fleet::ServerIndex> = data_centres
-            .iter()
-            .flat_map(|data_centre| cx.fleet.group(&req.service, data_centre))
-            .copied()
-            .filter(|index| !req.tried.contains(index))
-            .filter(|index| {
-                cx.fleet
-                    .get(*index)
-                    .is_some_and(|s| cx.fleet.is_usable(s, now))
-            })
-            .collect();
-        best_of(cx, req, &usable, now)
-    })
-}
-
-/// Data centres that may serve the request, the nearest ones first.
-fn tiers<'a>(cx: &Cx<'a>, req: &request::Request) -> [Vec<&'a str>; 3] {
     let own_region = cx.regions.get(cx.data_centre);
-    let mut tiers = [Vec::new(), Vec::new(), Vec::new()];
-    for (data_centre, region) in cx.regions {
-        if !req.route.allows(region) {
-            continue;
-        }
-        let tier = match (data_centre == cx.data_centre, Some(region) == own_region) {
-            (true, _) => 0,
-            (false, true) => 1,
-            (false, false) => 2,
-        };
-        tiers[tier].push(data_centre.as_str());
-    }
-    tiers
+    let tier = |data_centre: &str, region: &model::RegionId| {
+        (data_centre != cx.data_centre, Some(region) != own_region)
+    };
+    [(false, false), (true, false), (true, true)]
+        .into_iter()
+        .find_map(|wanted| {
+            let usable: Vec<Candidate> = cx
+                .regions
+                .iter()
+                .filter(|(data_centre, region)| tier(data_centre, region) == wanted)
+                .filter(|(_, region)| req.route.allows(region))
+                .flat_map(|(data_centre, _)| cx.fleet.group(&req.service, data_centre))
+                .filter(|index| !req.tried.contains(index))
+                .filter_map(|index| Some((*index, cx.fleet.get(*index)?)))
+                .filter(|(_, server)| server.is_usable(now))
+                .collect();
+            best_of(cx, req, usable, now)
+        })
 }
 
+/// A backend server and its name within the process.
+type Candidate<'a> = (fleet::ServerIndex, &'a server::Server);
+
 fn best_of(
     cx: &Cx<'_>,
     req: &request::Request,
-    usable: &[fleet::ServerIndex],
+    usable: Vec<Candidate<'_>>,
     now: model::Time,
 ) -> Option<Choice> {
-    let ranked = candidates(cx, req, usable);
-    let preferred = req.object.and_then(|_| ranked.first().copied());
-    ranked
-        .iter()
-        .filter_map(|index| {
-            let server = cx.fleet.get(*index)?;
-            Some(judge(
-                cx,
-                req,
-                *index,
-                server,
-                preferred == Some(*index),
-                now,
-            ))
-        })
+    candidates(req, usable)
+        .into_iter()
+        .enumerate()
+        .map(|(at, candidate)| judge(cx, req, candidate, at == 0 && req.object.is_some(), now))
         .min_by(|a, b| a.score.total_cmp(&b.score))
 }
 
 /// Backend servers that a request is given to, the preferred one first; all where it concerns no
 /// object.
-fn candidates(
-    cx: &Cx<'_>,
-    req: &request::Request,
-    usable: &[fleet::ServerIndex],
-) -> Vec<fleet::ServerIndex> {
-    let Some(object) = req.object else {
-        return usable.to_vec();
-    };
-    let mut weighed: Vec<(u64, fleet::ServerIndex)> = usable
-        .iter()
-        .filter_map(|index| Some((weight(&cx.fleet.get(*index)?.entry.id, object), *index)))
-        .collect();
-    weighed.sort_unstable_by_key(|weighed| std::cmp::Reverse(*weighed));
-    weighed
-        .into_iter()
-        .take(CANDIDATES)
-        .map(|(_, index)| index)
-        .collect()
+fn candidates<'a>(req: &request::Request, mut usable: Vec<Candidate<'a>>) -> Vec<Candidate<'a>> {
+    if let Some(object) = req.object {
+        usable.sort_by_cached_key(|(_, server)| std::cmp::Reverse(weight(server.hash, object)));
+        usable.truncate(CANDIDATES);
+    }
+    usable
 }
 
 fn judge(
     cx: &Cx<'_>,
     req: &request::Request,
-    index: fleet::ServerIndex,
-    server: &server::Server,
+    (index, server): Candidate<'_>,
     is_preferred: bool,
     now: model::Time,
 ) -> Choice {
@@ -148,9 +112,8 @@
         Some(_) if is_preferred => PREFERRED_WARM * warm + (1.0 - PREFERRED_WARM) * cold,
         _ => cold,
     };
-    let others = cx.others.get(&server.entry.id).copied().unwrap_or(0);
     let ahead = cx.ahead.get(&index).copied().unwrap_or(0);
-    let load = server.in_flight() + others + ahead;
+    let load = server.in_flight() + server.others(now) + ahead;
     let slots = server.entry.slots.max(1);
     let queued = (load + 1).saturating_sub(slots);
     let mean = (warm + cold) / 2.0;
@@ -190,6 +153,6 @@
 }
 
 /// Rendezvous hash: the backend server with the largest weight is the preferred one.
-fn weight(server: &str, object: u64) -> u64 {
-    xxh3::xxh3_64_with_seed(server.as_bytes(), object)
+fn weight(server: u64, object: u64) -> u64 {
+    xxh3::xxh3_64_with_seed(&server.to_le_bytes(), object)
 }
--- a/crates/steering/src/gateway/pool.rs
+++ b/crates/steering/src/gateway/pool.rs
@@ -12,6 +12,13 @@
 /// its objective; a longer wait would be held against the client without an offer.
 const LATE_SHARE: f64 = 0.6;
 
+/// Part of the expected service time below which a request is not worth sending: the backend
+/// server would give it up half done.
+const HOPELESS: f64 = 0.7;
+
+/// Requests of a service that may wait although they miss their objective.
+const LATE_WAITING: u32 = 4;
+
 /// The same for a request that was refused before: a second refusal is worse than a late answer.
 const RETURNED_SHARE: f64 = 0.9;
 
@@ -119,18 +126,12 @@
     }
 
     /// Decides on the requests that wait: those that can still meet their objective first, by
-    /// rank, then by arrival.  `others` are the requests that other hosts of the data centre have
-    /// in progress, `hosts` how many hosts share the bound of cold backend servers.
-    pub fn decide(
-        &mut self,
-        others: &collections::HashMap<model::ServerId, u32>,
-        hosts: usize,
-        now: model::Time,
-    ) -> Vec<(Ticket, Decision)> {
+    /// rank, then by arrival.  `hosts` share the bound of cold backend servers.
+    pub fn decide(&mut self, hosts: usize, now: model::Time) -> Vec<(Ticket, Decision)> {
         let services: Vec<model::ServiceId> = self.waiting.keys().cloned().collect();
         services
             .into_iter()
-            .flat_map(|service| self.decide_service(&service, others, hosts, now))
+            .flat_map(|service| self.decide_service(&service, hosts, now))
             .collect()
     }
 
@@ -149,12 +150,12 @@
         self.waiting.values().map(Vec::len).sum()
     }
 
-    /// Requests in progress at each backend server.
-    pub fn in_flight(&self) -> collections::BTreeMap<model::ServerId, u32> {
+    /// Requests in progress at each backend server, by the hash of its name.
+    pub fn in_flight(&self) -> Vec<(u64, u32)> {
         self.fleet
             .iter()
             .filter(|(_, server)| server.in_flight() > 0)
-            .map(|(_, server)| (server.entry.id.clone(), server.in_flight()))
+            .map(|(_, server)| (server.hash, server.in_flight()))
             .collect()
     }
 
@@ -176,6 +177,16 @@
         }
     }
 
+    /// Takes a backend server's report of the requests that it has.
+    pub fn report(&mut self, ticket: Ticket, requests: u32, now: model::Time) {
+        let Some(sent) = self.sent.get(&ticket) else {
+            return;
+        };
+        if let Some(server) = self.fleet.get_mut(sent.server) {
+            server.report(requests, now);
+        }
+    }
+
     /// Takes that a request that waits or is in progress is given up.
     pub fn abandon(&mut self, ticket: Ticket, now: model::Time) {
         for queue in self.waiting.values_mut() {
@@ -204,7 +215,6 @@
     fn decide_service(
         &mut self,
         service: &str,
-        others: &collections::HashMap<model::ServerId, u32>,
         hosts: usize,
         now: model::Time,
     ) -> Vec<(Ticket, Decision)> {
@@ -215,21 +225,22 @@
         let interval = self.cold_interval(service, hosts);
         let mut ahead = collections::HashMap::new();
         let mut decisions = Vec::new();
-        let mut left = Vec::new();
+        let mut left: Vec<Waiting> = Vec::new();
+        let mut late = 0;
         for mut waiting in queue {
             let cx = placement::Cx {
                 fleet: &self.fleet,
                 times: &self.times,
                 data_centre: &self.data_centre,
                 regions: &self.regions,
-                others,
                 ahead: &ahead,
             };
             let choice = placement::choose(&cx, &waiting.req, now);
             let is_new = waiting.service.is_none();
             waiting.service = choice.map(|choice| choice.service);
-            match verdict(&waiting.req, choice, is_new, now) {
+            match verdict(&waiting.req, choice, is_new, late, now) {
                 Verdict::Wait(server) => {
+                    late += u32::from(self.order(&waiting, now).0);
                     *ahead.entry(server).or_insert(0) += 1;
                     left.push(waiting);
                 }
@@ -321,11 +332,16 @@
     req: &request::Request,
     choice: Option<placement::Choice>,
     is_new: bool,
+    late: u32,
     now: model::Time,
 ) -> Verdict {
     let Some(choice) = choice else {
         return Verdict::Refuse(outcome::Reason::NoServer, MIN_RETRY_AFTER);
     };
+    let shortest = time::Duration::from_secs_f64(HOPELESS * choice.service);
+    if now + shortest > req.deadline {
+        return Verdict::Refuse(outcome::Reason::Deadline, MIN_RETRY_AFTER);
+    }
     if choice.wait <= 0.0 {
         return Verdict::Send(choice);
     }
@@ -338,7 +354,10 @@
         (true, true) => req.arrived + has.mul_f64(RETURNED_SHARE),
         (false, _) => req.deadline,
     };
-    match done <= latest {
+    // Requests that miss their objective get the slots that others leave: few of them may wait.
+    let is_late = done > req.objective();
+    let has_place = !is_new || req.has_returned || !is_late || late < LATE_WAITING;
+    match done <= latest && has_place {
         true => Verdict::Wait(choice.server),
         false => Verdict::Refuse(outcome::Reason::Overload, wait.max(MIN_RETRY_AFTER)),
     }
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, net, time};
 
+use xxhash_rust::xxh3;
+
 use super::{outcome, pool};
 use crate::model;
 
@@ -30,6 +32,9 @@
 /// Service time of a cold backend server relative to a warm one.
 const COLD_SLOWDOWN: f64 = 2.0;
 
+/// Time for which a backend server's report of its load counts.
+const REPORT_AGE: time::Duration = time::Duration::from_millis(250);
+
 /// A backend server as it describes itself.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
@@ -74,6 +79,14 @@
 pub struct Server {
     /// As it describes itself.
     pub entry: Entry,
+    /// Hash of its name, the same at all hosts.
+    pub hash: u64,
+    /// Whether its data centre is evacuated.
+    pub(super) is_evacuated: bool,
+    /// Requests in progress that other hosts of the data centre sent, as they tell.
+    pub(super) told: u32,
+    /// Requests in progress that other hosts sent, as it reported last, and when.
+    reported: (model::Time, u32),
     in_flight: Vec<InFlight>,
     speed: f64,
     failure_rate: f64,
@@ -93,6 +106,10 @@
     pub fn new(entry: Entry, now: model::Time) -> Server {
         Server {
             cold_until: now + entry.warmup_left,
+            hash: xxh3::xxh3_64(entry.id.as_bytes()),
+            is_evacuated: false,
+            told: 0,
+            reported: (model::Time::ZERO, 0),
             entry,
             in_flight: Vec::new(),
             speed: 1.0,
@@ -111,7 +128,9 @@
     pub fn update(&mut self, entry: Entry, now: model::Time) {
         self.missing_since = None;
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
+            let is_evacuated = self.is_evacuated;
             *self = Server::new(entry, now);
+            self.is_evacuated = is_evacuated;
             return;
         }
         if entry.warmup_left > time::Duration::ZERO {
@@ -128,7 +147,7 @@
 
     /// Whether it may be given a request, apart from its load.
     pub fn is_usable(&self, now: model::Time) -> bool {
-        self.entry.state == ServerState::Ready && now >= self.ejected_until
+        self.entry.state == ServerState::Ready && !self.is_evacuated && now >= self.ejected_until
     }
 
     /// Whether it is cold.
@@ -149,6 +168,20 @@
         self.in_flight.len() as u32
     }
 
+    /// Requests in progress that other hosts sent, as far as is known.
+    pub fn others(&self, now: model::Time) -> u32 {
+        let (at, reported) = self.reported;
+        match now <= at + REPORT_AGE {
+            true => self.told.max(reported),
+            false => self.told,
+        }
+    }
+
+    /// Takes its report of the requests that it has, running or waiting.
+    pub(super) fn report(&mut self, requests: u32, now: model::Time) {
+        self.reported = (now, requests.saturating_sub(self.in_flight()));
+    }
+
     /// Whether it refused a request for lack of room a moment ago.
     pub fn is_full(&self, now: model::Time) -> bool {
         now < self.full_until
