--- a/crates/node/src/gateway/follow.rs
+++ b/crates/node/src/gateway/follow.rs
@@ -10,6 +10,10 @@
 /// Longest pause after a failed call: news may wait for it after the store's return.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(500);
 
+/// Pause after a watch that brought changes, so that those of a moment come with one call: every
+/// call is priced, and the shortest bound on news is ten times as long.
+const GATHER: time::Duration = time::Duration::from_millis(250);
+
 /// Why a call to the store failed.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum SourceError {
@@ -97,7 +101,10 @@
             }),
         };
         match result {
-            Ok(()) => pause = PAUSE,
+            Ok(()) => {
+                pause = PAUSE;
+                tokio::time::sleep(GATHER).await;
+            }
             Err(SourceError::CutOff(reason)) => {
                 log::debug!(kind, reason:%; "a watch of the store was cut off");
                 tokio::time::sleep(PAUSE).await;
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -76,6 +76,13 @@
         }
     }
 
+    /// Takes changed settings; those that name the host itself hold from its next start.
+    pub fn reload(&self, settings: Settings) {
+        let mut state = self.lock();
+        state.pool.set_limits(settings.retry);
+        state.directory.set_max_shift(settings.max_shift);
+    }
+
     /// Takes news from the platform.
     pub fn apply(&self, update: update::Update) {
         let now = self.clock.now();
--- a/crates/steering/src/gateway/budget.rs
+++ b/crates/steering/src/gateway/budget.rs
@@ -32,6 +32,13 @@
         }
     }
 
+    /// Takes changed bounds; what was counted stays.
+    pub fn set_bounds(&mut self, ratio: f64, slack: f64, window: time::Duration) {
+        self.ratio = ratio;
+        self.slack = slack;
+        self.window = window;
+    }
+
     /// Counts a request's first sending.
     pub fn first(&mut self, now: model::Time) {
         self.bucket(now).1 += 1;
--- a/crates/steering/src/gateway/directory.rs
+++ b/crates/steering/src/gateway/directory.rs
@@ -64,6 +64,11 @@
         }
     }
 
+    /// Takes a changed bound on moves.
+    pub fn set_max_shift(&mut self, max_shift: f64) {
+        self.max_shift = max_shift;
+    }
+
     /// Moves the shares of a name towards those that its room and demand call for.
     pub fn step(&mut self, name: &str, spread: &Spread, now: model::Time) {
         let empty = collections::BTreeMap::new();
--- a/crates/steering/src/gateway/pool.rs
+++ b/crates/steering/src/gateway/pool.rs
@@ -40,7 +40,7 @@
 }
 
 /// Bounds on repeated sendings.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLimits {
     /// Repeated sendings for each first one.
     pub ratio: f64,
@@ -100,6 +100,14 @@
         }
     }
 
+    /// Takes changed bounds on repeated sendings; what was counted stays.
+    pub fn set_limits(&mut self, limits: RetryLimits) {
+        self.limits = limits;
+        for budget in self.budgets.values_mut() {
+            budget.set_bounds(limits.ratio, limits.slack, limits.window);
+        }
+    }
+
     /// Takes a new configuration's services.
     pub fn set_services(
         &mut self,
