Test the gateway's decisions; keep service times above the resolution

Cause: a history of instant answers made the estimate zero and a wait not a number, which ended the request's task (found by the property test of the pool, which failed first). Change: a shortest service time of 1 ms; tests of routes, splits, budget, outcomes, fleet, pool, members and look-ups.

--- a/crates/steering/src/gateway/estimate.rs
+++ b/crates/steering/src/gateway/estimate.rs
@@ -15,6 +15,9 @@
 /// Warm service time relative to the cold one, before the first observation.
 const WARM_PRIOR: f64 = 0.35;
 
+/// Shortest service time that is expected, in seconds: the resolution of the estimates.
+const MIN_TIME: f64 = 0.001;
+
 /// Mean service times of routes, with and without the object in the backend server's cache.
 #[derive(Debug, Default)]
 pub struct ServiceTimes {
@@ -36,13 +39,13 @@
         } else {
             &mut means.cold
         };
-        let seconds = took.as_secs_f64() / speed;
+        let seconds = (took.as_secs_f64() / speed).max(MIN_TIME);
         *mean = Some(mean.map_or(seconds, |mean| mean + WEIGHT * (seconds - mean)));
     }
 
     /// Expected service time in seconds at a backend server of ordinary speed.
     pub fn expect(&self, route: &policy::Route, is_warm: bool) -> f64 {
-        let objective = route.objective.as_secs_f64();
+        let objective = route.objective.as_secs_f64().max(MIN_TIME);
         let means = self.routes.get(&route.name);
         let cold = means
             .and_then(|means| means.cold)
--- /dev/null
+++ b/crates/steering/tests/gateway/directory.rs
@@ -0,0 +1,159 @@
+//! Look-ups: where callers go.
+
+use std::{collections, net};
+
+use proptest::prelude::*;
+use yuccatide_steering::{gateway, model};
+
+use crate::fixtures::{self, ms};
+
+fn spread(capacity: &[(&str, f64)], demand: &[(&str, f64)]) -> gateway::Spread {
+    let slots = capacity
+        .iter()
+        .map(|(d, slots)| (d.to_string(), *slots))
+        .collect();
+    gateway::Spread {
+        capacity: [("log".to_string(), slots)].into(),
+        loads: demand
+            .iter()
+            .map(|(d, slots)| load(d, &[], *slots))
+            .collect(),
+        regions: fixtures::regions(),
+    }
+}
+
+fn load(data_centre: &str, regions: &[&str], slots: f64) -> gateway::Load {
+    gateway::Load {
+        service: "log".to_string(),
+        data_centre: data_centre.to_string(),
+        regions: regions.iter().map(ToString::to_string).collect(),
+        slots,
+    }
+}
+
+fn by_region(
+    directory: &gateway::Directory,
+    region: &str,
+) -> collections::BTreeMap<model::RegionId, f64> {
+    let mut sums = collections::BTreeMap::new();
+    for (data_centre, share) in directory.shares("shop", region).unwrap() {
+        *sums
+            .entry(fixtures::regions()[data_centre].clone())
+            .or_insert(0.0) += share;
+    }
+    sums
+}
+
+#[test]
+fn callers_of_a_region_go_to_few_data_centres() {
+    let mut directory = gateway::Directory::new(0.15);
+    let room = [("a1", 60.0), ("a2", 60.0), ("b1", 60.0), ("b2", 60.0)];
+    let demand = [("a1", 8.0), ("a2", 8.0), ("b1", 8.0), ("b2", 8.0)];
+    directory.step("shop", &spread(&room, &demand), ms(0));
+    for region in ["a", "b"] {
+        let shares = directory.shares("shop", region).unwrap();
+        let used: Vec<_> = shares.iter().filter(|(_, share)| **share > 0.0).collect();
+        assert_eq!(used.len(), 1, "{shares:?}");
+        assert_eq!(fixtures::regions()[used[0].0], region);
+    }
+}
+
+#[test]
+fn what_exceeds_a_region_goes_where_there_is_room() {
+    let mut directory = gateway::Directory::new(0.15);
+    let room = [("a1", 4.0), ("a2", 4.0), ("b1", 60.0), ("b2", 60.0)];
+    let demand = [("a1", 15.0), ("a2", 15.0), ("b1", 4.0), ("b2", 4.0)];
+    directory.step("shop", &spread(&room, &demand), ms(0));
+    assert!(by_region(&directory, "a").get("b").copied().unwrap_or(0.0) > 0.8);
+    assert!(by_region(&directory, "b")["b"] > 0.99);
+}
+
+#[test]
+fn regions_that_bind_a_used_route_bind_the_look_ups() {
+    let mut directory = gateway::Directory::new(0.15);
+    let room = [("a1", 4.0), ("b1", 60.0)];
+    let mut spread = spread(&room, &[("b1", 4.0)]);
+    spread.loads.push(load("a1", &["a"], 30.0));
+    directory.step("shop", &spread, ms(0));
+    assert_eq!(
+        by_region(&directory, "a").get("b").copied().unwrap_or(0.0),
+        0.0
+    );
+}
+
+#[test]
+fn a_few_requests_on_a_bound_route_do_not_bind() {
+    let mut directory = gateway::Directory::new(0.15);
+    let room = [("a1", 4.0), ("b1", 60.0)];
+    let mut spread = spread(&room, &[("a1", 30.0), ("b1", 4.0)]);
+    spread.loads.push(load("a1", &["a"], 0.1));
+    directory.step("shop", &spread, ms(0));
+    assert!(by_region(&directory, "a")["b"] > 0.5);
+}
+
+#[test]
+fn before_any_server_is_known_callers_stay() {
+    let mut directory = gateway::Directory::new(0.15);
+    directory.step("shop", &spread(&[], &[]), ms(0));
+    let client = gateway::Client {
+        address: net::IpAddr::from([10, 0, 0, 1]),
+        data_centre: "a1".to_string(),
+    };
+    assert_eq!(directory.choose("shop", &client), ["a1"]);
+}
+
+#[test]
+fn neighbouring_addresses_are_spread_by_the_shares() {
+    let mut directory = gateway::Directory::new(0.15);
+    let room = [("a1", 20.0), ("a2", 20.0), ("b1", 60.0), ("b2", 60.0)];
+    let demand = [("a1", 20.0), ("a2", 20.0), ("b1", 1.0), ("b2", 1.0)];
+    directory.step("shop", &spread(&room, &demand), ms(0));
+    let mut counts: collections::BTreeMap<model::DataCentreId, f64> = collections::BTreeMap::new();
+    for last in 10..70 {
+        let client = gateway::Client {
+            address: net::IpAddr::from([10, 0, 0, last]),
+            data_centre: "a1".to_string(),
+        };
+        *counts
+            .entry(directory.choose("shop", &client)[0].clone())
+            .or_default() += 1.0 / 60.0;
+    }
+    for (data_centre, share) in directory.shares("shop", "a").unwrap() {
+        let got = counts.get(data_centre).copied().unwrap_or(0.0);
+        assert!(
+            (got - share).abs() < 0.05,
+            "{data_centre}: {got} for {share}"
+        );
+    }
+}
+
+proptest! {
+    /// Shares are whole, and no more than the permitted part of a region's callers changes region.
+    #[test]
+    fn moves_between_regions_keep_their_bound(
+        steps in prop::collection::vec(
+            (prop::array::uniform4(0.0f64..80.0), prop::array::uniform4(0.0f64..60.0), 100u64..1500),
+            2..40,
+        ),
+    ) {
+        let names = ["a1", "a2", "b1", "b2"];
+        let mut directory = gateway::Directory::new(0.15);
+        let mut now = 0;
+        let mut history: Vec<(u64, collections::BTreeMap<_, _>)> = Vec::new();
+        for (room, demand, pause) in steps {
+            let pair = |values: [f64; 4]| names.into_iter().zip(values).collect::<Vec<_>>();
+            directory.step("shop", &spread(&pair(room), &pair(demand)), ms(now));
+            let Some(shares) = directory.shares("shop", "a") else { continue };
+            let sum: f64 = shares.values().sum();
+            prop_assert!((sum - 1.0).abs() < 1e-6, "{shares:?}");
+            let current = by_region(&directory, "a");
+            for (at, before) in history.iter().filter(|(at, _)| at + 2000 > now) {
+                let moved = (current.get("b").copied().unwrap_or(0.0)
+                    - before.get("b").copied().unwrap_or(0.0)).abs();
+                prop_assert!(moved <= 0.15 + 1e-9, "{moved} since {at}");
+            }
+            history.push((now, current));
+            now += pause;
+        }
+    }
+}
--- /dev/null
+++ b/crates/steering/tests/gateway/fixtures.rs
@@ -0,0 +1,88 @@
+//! Small values for the tests.
+
+use std::{collections, net, sync, time};
+
+use yuccatide_steering::{gateway, model};
+
+pub fn ms(ms: u64) -> time::Duration {
+    time::Duration::from_millis(ms)
+}
+
+pub fn route(name: &str) -> gateway::Route {
+    gateway::Route {
+        name: name.to_string(),
+        host: "shop.example".to_string(),
+        prefix: format!("/{name}/"),
+        is_idempotent: true,
+        timeout: ms(2000),
+        objective: ms(400),
+        attempts: 2,
+        rank: 1,
+        parts: vec![gateway::Part {
+            service: "log".to_string(),
+            weight: 1.0,
+        }],
+        has_affinity: true,
+        regions: Vec::new(),
+    }
+}
+
+pub fn policy(version: model::Version, routes: Vec<gateway::Route>) -> gateway::Policy {
+    gateway::Policy {
+        version,
+        routes,
+        services: [("log".to_string(), service())].into(),
+        limits: gateway::Limits::default(),
+    }
+}
+
+pub fn service() -> gateway::Service {
+    gateway::Service {
+        max_connections: 100,
+        warmup: ms(3000),
+        warmup_rate: 10.0,
+    }
+}
+
+pub fn entry(id: &str, data_centre: &str, slots: u32) -> gateway::Entry {
+    gateway::Entry {
+        id: id.to_string(),
+        service: "log".to_string(),
+        address: net::SocketAddr::from(([127, 0, 0, 1], 9000)),
+        data_centre: data_centre.to_string(),
+        slots,
+        state: gateway::ServerState::Ready,
+        warmup_left: time::Duration::ZERO,
+        incarnation: 1,
+    }
+}
+
+pub fn regions() -> collections::BTreeMap<model::DataCentreId, model::RegionId> {
+    [("a1", "a"), ("a2", "a"), ("b1", "b"), ("b2", "b")]
+        .into_iter()
+        .map(|(data_centre, region)| (data_centre.to_string(), region.to_string()))
+        .collect()
+}
+
+pub fn pool() -> gateway::Pool {
+    let limits = gateway::RetryLimits {
+        ratio: 0.2,
+        slack: 10.0,
+        window: ms(10_000),
+    };
+    let mut pool = gateway::Pool::new("a1", regions(), limits);
+    pool.set_services(&[("log".to_string(), service())].into());
+    pool
+}
+
+pub fn request(route: gateway::Route, object: u64, now: model::Time) -> gateway::Request {
+    gateway::Request {
+        service: "log".to_string(),
+        object: Some(object),
+        arrived: now,
+        deadline: now + route.timeout,
+        has_returned: false,
+        tried: Vec::new(),
+        route: sync::Arc::new(route),
+    }
+}
--- /dev/null
+++ b/crates/steering/tests/gateway/main.rs
@@ -0,0 +1,10 @@
+//! Decisions of the HTTP gateway.
+
+mod budget;
+mod directory;
+mod fixtures;
+mod fleet;
+mod members;
+mod outcome;
+mod pool;
+mod routes;
--- /dev/null
+++ b/crates/steering/tests/gateway/routes.rs
@@ -0,0 +1,86 @@
+//! Selection of routes and division of their requests.
+
+use proptest::prelude::*;
+use rstest::rstest;
+use yuccatide_steering::gateway;
+
+use crate::fixtures;
+
+fn with_prefix(name: &str, prefix: &str) -> gateway::Route {
+    gateway::Route {
+        prefix: prefix.to_string(),
+        ..fixtures::route(name)
+    }
+}
+
+fn table() -> gateway::Table {
+    let mut table = gateway::Table::default();
+    let routes = vec![with_prefix("short", "/a/"), with_prefix("long", "/a/b/")];
+    assert!(table.apply(fixtures::policy(4, routes)));
+    table
+}
+
+#[rstest]
+#[case("shop.example", "/a/x", Some("short"))]
+#[case("shop.example", "/a/b/x", Some("long"))]
+#[case("shop.example", "/a/bx", Some("short"))]
+#[case("SHOP.example:8080", "/a/b/", Some("long"))]
+#[case("shop.example", "/b/", None)]
+#[case("shop.example", "/a", None)]
+#[case("other.example", "/a/x", None)]
+fn the_longest_prefix_selects(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let found = match table().find(host, path) {
+        gateway::Found::Route(route) => Some(route.name.clone()),
+        gateway::Found::NoRoute => None,
+        gateway::Found::NoPolicy => panic!("a configuration is in force"),
+    };
+    assert_eq!(found.as_deref(), expected);
+}
+
+#[test]
+fn without_a_configuration_nothing_is_denied() {
+    let table = gateway::Table::default();
+    assert_eq!(table.find("shop.example", "/a/"), gateway::Found::NoPolicy);
+}
+
+#[rstest]
+#[case(3)]
+#[case(4)]
+fn a_version_is_never_replaced_by_an_older_one(#[case] version: u64) {
+    let mut table = table();
+    assert!(!table.apply(fixtures::policy(version, Vec::new())));
+    assert_eq!(table.version(), Some(4));
+    assert_ne!(table.find("shop.example", "/a/x"), gateway::Found::NoRoute);
+}
+
+proptest! {
+    #[test]
+    fn parts_get_their_weights(weights in prop::collection::vec(1u32..100, 2..5)) {
+        let mut route = fixtures::route("split");
+        route.parts = weights
+            .iter()
+            .enumerate()
+            .map(|(i, weight)| gateway::Part {
+                service: format!("s{i}"),
+                weight: f64::from(*weight),
+            })
+            .collect();
+        let total = f64::from(weights.iter().sum::<u32>());
+        let mut splits = gateway::Splits::default();
+        let mut counts = vec![0.0; weights.len()];
+        for sent in 1..=200 {
+            let service = splits.next(&route);
+            let at: usize = service[1..].parse().unwrap();
+            counts[at] += 1.0;
+            for (count, weight) in counts.iter().zip(&weights) {
+                let owed = f64::from(sent) * f64::from(*weight) / total;
+                let within = (count - owed).abs() <= weights.len() as f64;
+                prop_assert!(within, "{count} of {owed}");
+            }
+        }
+    }
+}
