Work out the shares of look-ups before traffic, and not from first counts

Cause: a host that answered its first look-up half a second into the traffic took a few hosts' first counts for the whole demand and kept brussel's callers at its two backend servers; the bound on moves then took 20 s to undo it. Ruled out: too little room elsewhere (wallonie had two thirds free). Change: shares are worked out twice a second from the start, move freely while there is no traffic, and demand counts from two seconds on; summaries between data centres go once a second.

--- a/crates/node/src/gateway/arrivals.rs
+++ b/crates/node/src/gateway/arrivals.rs
@@ -7,8 +7,11 @@
 /// Interval over which arrivals are counted.
 pub(super) const INTERVAL: time::Duration = time::Duration::from_millis(500);
 
-/// Weight of a new count in the moving average; it follows demand within about two seconds.
-const WEIGHT: f64 = 0.3;
+/// Weight of a new count in the moving average; it follows demand within about three seconds.
+const WEIGHT: f64 = 0.2;
+
+/// Intervals after the first request before which the averages tell too little.
+const MEASURED: u32 = 4;
 
 /// Blocks of callers that a host remembers; of more it takes the callers for its own.
 const MAX_BLOCKS: usize = 4096;
@@ -30,6 +33,7 @@
     slots: collections::BTreeMap<Key, f64>,
     /// Sum of the weights in the averages, which begin empty.
     weight: f64,
+    intervals: u32,
 }
 
 impl Arrivals {
@@ -93,11 +97,15 @@
             *slots += WEIGHT * (work / INTERVAL.as_secs_f64() - *slots);
         }
         self.weight += WEIGHT * (1.0 - self.weight);
+        self.intervals = self.intervals.saturating_add(1);
         self.work.clear();
     }
 
-    /// The demand.
+    /// The demand; nothing until enough was measured.
     pub(super) fn loads(&self) -> Vec<gateway::Load> {
+        if self.intervals < MEASURED {
+            return Vec::new();
+        }
         self.slots
             .iter()
             .map(|((service, data_centre, regions), slots)| gateway::Load {
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -132,6 +132,7 @@
             if rolled.elapsed() >= arrivals::INTERVAL {
                 rolled = time::Instant::now();
                 state.arrivals.roll();
+                state.step(&self.settings, now);
             }
             if state.pool.is_waiting() {
                 self.decide(&mut state, now);
@@ -165,8 +166,6 @@
         let now = self.clock.now();
         let mut state = self.lock();
         state.arrivals.locate(client.address, &client.data_centre);
-        let spread = state.spread(name, &self.settings, now);
-        state.directory.step(name, &spread, now);
         let own_ready = state.table.version().is_some() && !state.is_stopping;
         state
             .directory
@@ -344,6 +343,14 @@
         log::info!(version; "a configuration is in force");
     }
 
+    /// Moves the shares of all names.
+    fn step(&mut self, settings: &Settings, now: model::Time) {
+        for name in self.table.names() {
+            let spread = self.spread(&name, settings, now);
+            self.directory.step(&name, &spread, now);
+        }
+    }
+
     /// Takes what the other hosts of the data centre have in progress.
     fn take_told(&mut self, now: model::Time) {
         let mut told: collections::HashMap<u64, u32> = collections::HashMap::new();
--- a/crates/steering/src/gateway/directory.rs
+++ b/crates/steering/src/gateway/directory.rs
@@ -5,9 +5,6 @@
 use super::{members, targets};
 use crate::model;
 
-/// Time between two steps of the shares.
-const STEP: time::Duration = time::Duration::from_millis(500);
-
 /// Part of the permitted shift that the shares use: callers follow with random delays.
 const USED_SHIFT: f64 = 0.5;
 
@@ -46,6 +43,7 @@
     shares: collections::BTreeMap<model::RegionId, Shares>,
     regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
     stepped: model::Time,
+    has_traffic: bool,
 }
 
 /// Divides the callers of each region between data centres, by name.
@@ -71,12 +69,7 @@
 
     /// Moves the shares of a name towards those that its room and demand call for.
     pub fn step(&mut self, name: &str, spread: &Spread, now: model::Time) {
-        let empty = collections::BTreeMap::new();
-        let known = self.names.get(name);
-        if known.is_some_and(|known| now < known.stepped + STEP) {
-            return;
-        }
-        let current = known.map_or(&empty, |known| &known.shares);
+        let current = self.names.get(name).map(|known| &known.shares);
         let Some(wanted) = targets::targets(spread, current) else {
             return;
         };
@@ -84,10 +77,16 @@
             shares: wanted.clone(),
             regions: spread.regions.clone(),
             stepped: now,
+            has_traffic: false,
         });
         let passed = (now - known.stepped).min(SHIFT_WINDOW);
-        let most = self.max_shift * USED_SHIFT * passed.div_duration_f64(SHIFT_WINDOW);
         known.stepped = now;
+        // Without traffic nothing moves with the shares.
+        let most = match spread.loads.is_empty() && !known.has_traffic {
+            true => 1.0,
+            false => self.max_shift * USED_SHIFT * passed.div_duration_f64(SHIFT_WINDOW),
+        };
+        known.has_traffic |= !spread.loads.is_empty();
         for (region, wanted) in wanted {
             match known.shares.get_mut(&region) {
                 Some(shares) => approach(shares, &wanted, &spread.regions, most),
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -15,16 +15,16 @@
 pub const BEAT: time::Duration = time::Duration::from_millis(40);
 
 /// Time between summaries to other data centres.
-pub const SUMMARY: time::Duration = time::Duration::from_millis(500);
+pub const SUMMARY: time::Duration = time::Duration::from_millis(1000);
 
 /// Silence after which a host of the same data centre counts as dead: several lost beats.
 const BEAT_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
 /// Silence after which the hosts of another data centre count as dead: several lost summaries.
-const SUMMARY_TIMEOUT: time::Duration = time::Duration::from_millis(2200);
+const SUMMARY_TIMEOUT: time::Duration = time::Duration::from_millis(3200);
 
 /// Silence after which another host of a silent data centre is sent summaries.
-const ROTATE: time::Duration = time::Duration::from_millis(1200);
+const ROTATE: time::Duration = time::Duration::from_millis(1500);
 
 /// A host of the deployment.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/steering/src/gateway/table.rs
+++ b/crates/steering/src/gateway/table.rs
@@ -66,6 +66,11 @@
         routes.map_or(&[], Vec::as_slice)
     }
 
+    /// Names that have routes.
+    pub fn names(&self) -> Vec<String> {
+        self.hosts.keys().cloned().collect()
+    }
+
     /// Version in force.
     pub fn version(&self) -> Option<model::Version> {
         self.policy.as_ref().map(|policy| policy.version)
--- a/crates/steering/src/gateway/targets.rs
+++ b/crates/steering/src/gateway/targets.rs
@@ -36,7 +36,7 @@
 /// Shares for the callers of each region; nothing where no backend server is known.
 pub(super) fn targets(
     spread: &directory::Spread,
-    current: &collections::BTreeMap<model::RegionId, directory::Shares>,
+    current: Option<&collections::BTreeMap<model::RegionId, directory::Shares>>,
 ) -> Option<collections::BTreeMap<model::RegionId, directory::Shares>> {
     let needs = needs(spread)?;
     let bound = bound_regions(spread);
@@ -50,7 +50,14 @@
         for is_own in [true, false] {
             for (region, need) in &needs {
                 let served = shares.entry(region.clone()).or_default();
-                let order = order(spread, region, is_own, current.get(region), &room, &bound);
+                let order = order(
+                    spread,
+                    region,
+                    is_own,
+                    current.and_then(|c| c.get(region)),
+                    &room,
+                    &bound,
+                );
                 fill(served, need, &order, &mut room, small);
             }
         }
