Write structured logs to standard output and serve metrics

Cause: an engineer on call has logs and metrics only; refusals and failed sendings had lines without their inputs, written to standard error by the request's own thread.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -54,11 +54,17 @@
     req: http::Request<hyper::body::Incoming>,
     client: net::IpAddr,
 ) -> Reply {
+    let start = time::Instant::now();
     let (head, incoming) = req.into_parts();
-    let mut reply = match admit(&gateway, head, client) {
-        Ok(job) => serve(&gateway, job, incoming).await,
-        Err(reply) => *reply,
+    let (route, mut reply) = match admit(&gateway, head, client) {
+        Ok(job) => {
+            let route = job.req.route.clone();
+            (route.name.clone(), serve(&gateway, job, incoming).await)
+        }
+        Err(reply) => (String::new(), *reply),
     };
+    let result = result_of(&gateway, &reply);
+    gateway.metrics.request(&route, result, start.elapsed());
     if gateway.is_stopping() {
         let close = header::HeaderValue::from_static("close");
         reply.headers_mut().insert(header::CONNECTION, close);
@@ -66,6 +72,18 @@
     reply
 }
 
+/// What a client got, as the metrics name it.
+fn result_of(gateway: &gateway::Gateway, reply: &Reply) -> &'static str {
+    let is_servers = reply.headers().contains_key(&gateway.dialect.signature);
+    match reply.status() {
+        status if status.is_success() => "answered",
+        _ if is_servers => "answered-with-failure",
+        http::StatusCode::SERVICE_UNAVAILABLE => "refused",
+        status if status.is_server_error() => "unknown",
+        _ => "denied",
+    }
+}
+
 /// Finds the route and checks the bounds of a request's head.
 fn admit(
     gateway: &gateway::Gateway,
@@ -152,11 +170,28 @@
 async fn serve(gateway: &gateway::Gateway, job: Job, incoming: hyper::body::Incoming) -> Reply {
     let left = job.req.deadline.saturating_sub(gateway.clock.now());
     let mut progress = Progress::default();
+    let (id, route) = (job.id.clone(), job.req.route.clone());
     let served = tokio::time::timeout(left, attempts(gateway, job, incoming, &mut progress)).await;
-    match served {
-        Ok(reply) => reply,
-        Err(_) if progress.was_sent => status(http::StatusCode::GATEWAY_TIMEOUT, "timeout"),
-        Err(_) => refusal(
+    if let Ok(reply) = served {
+        return reply;
+    }
+    match gateway.lines.admit("timeout", gateway.clock.now()) {
+        Some(omitted) => log::warn!(
+            request = id, route = route.name, may_have_run = progress.was_sent,
+            arrivals = progress.arrivals, waited_ms = left.as_millis() as u64, omitted;
+            "the time to answer a request ran out"
+        ),
+        None => {
+            gateway.metrics.omitted_lines.inc();
+        }
+    }
+    timed_out(&progress)
+}
+
+fn timed_out(progress: &Progress) -> Reply {
+    match progress.was_sent {
+        true => status(http::StatusCode::GATEWAY_TIMEOUT, "timeout"),
+        false => refusal(
             decisions::Reason::Overload,
             time::Duration::from_millis(100),
         ),
@@ -206,7 +241,7 @@
                 retry_after,
             } => {
                 guard.ticket = None;
-                return refuse(&job, reason, retry_after);
+                return refuse(gateway, &job, reason, retry_after);
             }
         };
         progress.was_sent = true;
@@ -235,14 +270,7 @@
         let now = gateway.clock.now();
         progress.arrivals += u32::from(outcome.has_arrived());
         progress.was_sent = !outcome.is_not_run();
-        if outcome != decisions::Outcome::Answered {
-            log::info!(
-                request = job.id, route = job.req.route.name, server = entry.id,
-                outcome:?, error = result.as_ref().err().map(ToString::to_string),
-                status = result.as_ref().ok().map(|answer| answer.reply.status().as_u16());
-                "a sending did not succeed"
-            );
-        }
+        note_sending(gateway, &job, &entry, progress.arrivals, outcome, &result);
         let next = match outcome.next(&job.req, progress.arrivals, now) {
             decisions::Next::Retry { .. } if !is_whole => end_of(outcome),
             decisions::Next::Retry { costs: true } if !gateway.repeat(&job.req.service) => {
@@ -254,7 +282,7 @@
             (decisions::Next::Retry { .. }, _) => job.req.tried.push(index),
             (decisions::Next::Deliver, Ok(answer)) => return answer.reply,
             (decisions::Next::Refuse(reason), _) => {
-                return refuse(&job, reason, time::Duration::from_millis(100));
+                return refuse(gateway, &job, reason, time::Duration::from_millis(100));
             }
             _ => return status(http::StatusCode::BAD_GATEWAY, "the outcome is not known"),
         }
@@ -270,6 +298,34 @@
     }
 }
 
+/// Logs a sending that did not succeed.
+fn note_sending(
+    gateway: &gateway::Gateway,
+    job: &Job,
+    entry: &decisions::Entry,
+    arrivals: u32,
+    outcome: decisions::Outcome,
+    result: &Result<Answer, error::Error>,
+) {
+    let now = gateway.clock.now();
+    if outcome == decisions::Outcome::Answered {
+        return;
+    }
+    let Some(omitted) = gateway.lines.admit("sending", now) else {
+        gateway.metrics.omitted_lines.inc();
+        return;
+    };
+    log::warn!(
+        request = job.id, route = job.req.route.name, server = entry.id, address:% = entry.address,
+        outcome = outcome.as_str(), arrivals,
+        error = result.as_ref().err().map(ToString::to_string),
+        status = result.as_ref().ok().map(|answer| answer.reply.status().as_u16()),
+        age_ms = now.saturating_sub(job.req.arrived).as_millis() as u64,
+        left_ms = job.req.deadline.saturating_sub(now).as_millis() as u64, omitted;
+        "a sending did not succeed"
+    );
+}
+
 /// Load that a backend server reports with its answer.
 fn load_of(gateway: &gateway::Gateway, reply: &Reply) -> Option<dialect::ServerLoad> {
     let text = reply.headers().get(&gateway.dialect.load)?.to_str().ok()?;
@@ -470,12 +526,27 @@
     reply
 }
 
-fn refuse(job: &Job, reason: decisions::Reason, retry_after: time::Duration) -> Reply {
-    log::info!(
-        request = job.id, route = job.req.route.name,
-        reason = reason.as_str(), retry_after_ms = retry_after.as_millis() as u64;
-        "a request was refused"
-    );
+fn refuse(
+    gateway: &gateway::Gateway,
+    job: &Job,
+    reason: decisions::Reason,
+    retry_after: time::Duration,
+) -> Reply {
+    let now = gateway.clock.now();
+    gateway.metrics.refusal(reason);
+    match gateway.lines.admit("refusal", now) {
+        Some(omitted) => log::info!(
+            request = job.id, route = job.req.route.name, service = job.req.service,
+            reason = reason.as_str(), retry_after_ms = retry_after.as_millis() as u64,
+            has_returned = job.req.has_returned, tried = job.req.tried.len(),
+            age_ms = now.saturating_sub(job.req.arrived).as_millis() as u64,
+            left_ms = job.req.deadline.saturating_sub(now).as_millis() as u64, omitted;
+            "a request was refused"
+        ),
+        None => {
+            gateway.metrics.omitted_lines.inc();
+        }
+    }
     refusal(reason, retry_after)
 }
 
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -5,7 +5,7 @@
 use tokio::sync::oneshot;
 use yuccatide_steering::{gateway as decisions, matching, model};
 
-use super::{arrivals, connections, dialect, update};
+use super::{arrivals, connections, dialect, lines, metrics, update};
 use crate::clock;
 
 /// Time between decisions on requests that wait without an event.
@@ -32,6 +32,9 @@
     pub(super) dialect: dialect::Dialect,
     pub(super) clock: clock::Clock,
     pub(super) connections: connections::Connections,
+    pub(super) lines: lines::Lines,
+    /// Counters, histograms and gauges.
+    pub metrics: metrics::Metrics,
     own: model::DataCentreId,
     settings: Settings,
     state: sync::Mutex<State>,
@@ -70,6 +73,8 @@
             dialect,
             clock: clock::Clock::new(),
             connections: connections::Connections::default(),
+            lines: lines::Lines::default(),
+            metrics: metrics::Metrics::new(),
             own,
             settings,
             state: sync::Mutex::new(state),
@@ -113,7 +118,11 @@
                     .into_iter()
                     .for_each(|member| state.members.learn(member));
             }
-            update::Update::StoreAnswers(answers) => state.pool.fleet.store_answers(answers, now),
+            update::Update::StoreAnswers(answers) => {
+                if state.pool.fleet.store_answers(answers, now) {
+                    log::info!(answers; "the store was lost or is back");
+                }
+            }
         }
         self.decide(&mut state, now);
     }
@@ -133,6 +142,7 @@
                 rolled = time::Instant::now();
                 state.arrivals.roll();
                 state.step(&self.settings, now);
+                self.measure(&state, now);
             }
             if state.pool.is_waiting() {
                 self.decide(&mut state, now);
@@ -164,6 +174,7 @@
     /// Addresses of the hosts that a caller should use for a name.
     pub fn resolve(&self, name: &str, client: &decisions::Client) -> Vec<net::SocketAddr> {
         let now = self.clock.now();
+        self.metrics.lookup();
         let mut state = self.lock();
         state.arrivals.locate(client.address, &client.data_centre);
         let own_ready = state.table.version().is_some() && !state.is_stopping;
@@ -277,6 +288,9 @@
     ) {
         let now = self.clock.now();
         let mut state = self.lock();
+        if let Some(service) = state.pool.service_of(ticket) {
+            self.metrics.sending(service, outcome);
+        }
         if let Some(load) = load {
             state.pool.report(ticket, load.running + load.waiting, now);
         }
@@ -321,6 +335,24 @@
         }
     }
 
+    fn measure(&self, state: &State, now: model::Time) {
+        let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+        let fleet = &state.pool.fleet;
+        let usable = fleet
+            .iter()
+            .filter(|(_, server)| server.is_usable(now))
+            .count();
+        let version = state.table.version().unwrap_or(0);
+        self.metrics
+            .version
+            .set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.metrics.waiting.set(count(state.pool.waiting()));
+        self.metrics.hosts.set(count(state.members.senders(now)));
+        self.metrics.servers.set(count(fleet.len()));
+        self.metrics.usable_servers.set(count(usable));
+        self.metrics.store_answers.set(i64::from(fleet.has_store()));
+    }
+
     fn lock(&self) -> sync::MutexGuard<'_, State> {
         self.state
             .lock()
--- /dev/null
+++ b/crates/node/src/gateway/metrics.rs
@@ -0,0 +1,228 @@
+//! Counters, histograms and gauges, in the usual text format.
+
+use std::{collections, fmt, sync, time};
+
+use prometheus_client::{
+    encoding::{self, EncodeLabelSet},
+    metrics::{counter, family, gauge, histogram},
+    registry,
+};
+use yuccatide_steering::gateway as decisions;
+
+/// Routes with a series of their own; further ones share one.
+const MAX_ROUTES: usize = 64;
+
+/// Name of the series that further routes share.
+const OTHER: &str = "other";
+
+/// Upper bounds of the latency histogram in seconds: from a hop in a data centre to the longest
+/// time that a client waits.
+const LATENCY_BOUNDS: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0];
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RequestLabels {
+    route: String,
+    result: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct RouteLabels {
+    route: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct SendingLabels {
+    service: String,
+    outcome: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct ReasonLabels {
+    reason: &'static str,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CallLabels {
+    kind: String,
+    call: &'static str,
+    result: &'static str,
+}
+
+type Latency = family::Family<RouteLabels, histogram::Histogram, fn() -> histogram::Histogram>;
+
+/// Metrics of a gateway.
+pub struct Metrics {
+    registry: registry::Registry,
+    routes: sync::Mutex<collections::HashSet<String>>,
+    requests: family::Family<RequestLabels, counter::Counter>,
+    latency: Latency,
+    refusals: family::Family<ReasonLabels, counter::Counter>,
+    sendings: family::Family<SendingLabels, counter::Counter>,
+    calls: family::Family<CallLabels, counter::Counter>,
+    lookups: counter::Counter,
+    pub(super) version: gauge::Gauge,
+    pub(super) waiting: gauge::Gauge,
+    pub(super) hosts: gauge::Gauge,
+    pub(super) servers: gauge::Gauge,
+    pub(super) usable_servers: gauge::Gauge,
+    pub(super) store_answers: gauge::Gauge,
+    pub(super) omitted_lines: counter::Counter,
+}
+
+impl Metrics {
+    pub(super) fn new() -> Metrics {
+        let new_histogram: fn() -> histogram::Histogram =
+            || histogram::Histogram::new(LATENCY_BOUNDS);
+        let mut metrics = Metrics {
+            registry: registry::Registry::with_prefix("yuccatide"),
+            routes: sync::Mutex::default(),
+            requests: family::Family::default(),
+            latency: family::Family::new_with_constructor(new_histogram),
+            refusals: family::Family::default(),
+            sendings: family::Family::default(),
+            calls: family::Family::default(),
+            lookups: counter::Counter::default(),
+            version: gauge::Gauge::default(),
+            waiting: gauge::Gauge::default(),
+            hosts: gauge::Gauge::default(),
+            servers: gauge::Gauge::default(),
+            usable_servers: gauge::Gauge::default(),
+            store_answers: gauge::Gauge::default(),
+            omitted_lines: counter::Counter::default(),
+        };
+        metrics.register();
+        metrics
+    }
+
+    fn register(&mut self) {
+        let r = &mut self.registry;
+        r.register(
+            "requests",
+            "Requests by route and result",
+            self.requests.clone(),
+        );
+        r.register(
+            "latency_seconds",
+            "Time to answer, of answered requests",
+            self.latency.clone(),
+        );
+        r.register(
+            "refusals",
+            "Requests refused, by reason",
+            self.refusals.clone(),
+        );
+        r.register(
+            "sendings",
+            "Sendings to backend servers, by outcome",
+            self.sendings.clone(),
+        );
+        r.register(
+            "store_calls",
+            "Calls to the store, by kind and result",
+            self.calls.clone(),
+        );
+        r.register("lookups", "Look-ups answered", self.lookups.clone());
+        r.register(
+            "config_version",
+            "Configuration in force",
+            self.version.clone(),
+        );
+        r.register(
+            "waiting",
+            "Requests that wait for a backend server",
+            self.waiting.clone(),
+        );
+        r.register(
+            "hosts",
+            "Hosts of the data centre that are alive",
+            self.hosts.clone(),
+        );
+        r.register("servers", "Backend servers known", self.servers.clone());
+        let usable = self.usable_servers.clone();
+        r.register(
+            "usable_servers",
+            "Backend servers that may be given requests",
+            usable,
+        );
+        r.register(
+            "store_answers",
+            "Whether the store answers",
+            self.store_answers.clone(),
+        );
+        let omitted = self.omitted_lines.clone();
+        r.register(
+            "log_lines_omitted",
+            "Log lines left out to bound their volume",
+            omitted,
+        );
+    }
+
+    /// The metrics as text.
+    pub fn text(&self) -> Result<String, fmt::Error> {
+        let mut text = String::new();
+        encoding::text::encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+
+    /// Counts a request that ended.
+    pub(super) fn request(&self, route: &str, result: &'static str, took: time::Duration) {
+        let route = self.label(route);
+        if result == "answered" {
+            let labels = RouteLabels {
+                route: route.clone(),
+            };
+            self.latency
+                .get_or_create(&labels)
+                .observe(took.as_secs_f64());
+        }
+        self.requests
+            .get_or_create(&RequestLabels { route, result })
+            .inc();
+    }
+
+    /// Counts a refusal.
+    pub(super) fn refusal(&self, reason: decisions::Reason) {
+        let labels = ReasonLabels {
+            reason: reason.as_str(),
+        };
+        self.refusals.get_or_create(&labels).inc();
+    }
+
+    /// Counts a sending that ended.
+    pub(super) fn sending(&self, service: &str, outcome: decisions::Outcome) {
+        let labels = SendingLabels {
+            service: service.to_string(),
+            outcome: outcome.as_str(),
+        };
+        self.sendings.get_or_create(&labels).inc();
+    }
+
+    /// Counts a call to the store.
+    pub fn store_call(&self, kind: &str, call: &'static str, result: &'static str) {
+        let labels = CallLabels {
+            kind: kind.to_string(),
+            call,
+            result,
+        };
+        self.calls.get_or_create(&labels).inc();
+    }
+
+    /// Counts a look-up.
+    pub(super) fn lookup(&self) {
+        self.lookups.inc();
+    }
+
+    fn label(&self, route: &str) -> String {
+        let mut routes = self
+            .routes
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        if !routes.contains(route) {
+            if routes.len() >= MAX_ROUTES {
+                return OTHER.to_string();
+            }
+            routes.insert(route.to_string());
+        }
+        route.to_string()
+    }
+}
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -12,8 +12,14 @@
 mod follow;
 mod forward;
 mod front;
+#[allow(
+    clippy::module_inception,
+    reason = "files are named after their main type"
+)]
 mod gateway;
 mod gossip;
+mod lines;
+mod metrics;
 mod update;
 
 pub use body::Body;
@@ -22,4 +28,5 @@
 pub use front::Front;
 pub use gateway::{Gateway, Settings};
 pub use gossip::gossip;
+pub use metrics::Metrics;
 pub use update::Update;
--- a/crates/steering/src/gateway/fleet.rs
+++ b/crates/steering/src/gateway/fleet.rs
@@ -84,12 +84,19 @@
         missing.iter().for_each(|id| self.remove(id, now));
     }
 
-    /// Takes whether the store answers.
-    pub fn store_answers(&mut self, answers: bool, now: model::Time) {
+    /// Takes whether the store answers; tells whether that changed.
+    pub fn store_answers(&mut self, answers: bool, now: model::Time) -> bool {
+        let has_changed = self.store_down == answers;
         if self.store_down && answers {
             self.store_back = Some(now);
         }
         self.store_down = !answers;
+        has_changed
+    }
+
+    /// Whether the store answered last.
+    pub fn has_store(&self) -> bool {
+        !self.store_down
     }
 
     /// Believes absences that outlasted the store's return.
--- a/crates/steering/src/gateway/outcome.rs
+++ b/crates/steering/src/gateway/outcome.rs
@@ -76,6 +76,20 @@
 }
 
 impl Outcome {
+    /// Name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Outcome::Answered => "answered",
+            Outcome::Failed => "failed",
+            Outcome::Shed => "shed",
+            Outcome::Misdirected => "misdirected",
+            Outcome::Unreachable => "unreachable",
+            Outcome::Broken => "broken",
+            Outcome::TimedOut => "timed-out",
+            Outcome::Cancelled => "cancelled",
+        }
+    }
+
     /// Whether a backend server received the request.
     pub fn has_arrived(self) -> bool {
         self != Outcome::Unreachable
--- a/crates/steering/src/gateway/pool.rs
+++ b/crates/steering/src/gateway/pool.rs
@@ -185,6 +185,11 @@
         }
     }
 
+    /// Service of a request in progress.
+    pub fn service_of(&self, ticket: Ticket) -> Option<&str> {
+        Some(&self.sent.get(&ticket)?.req.service)
+    }
+
     /// Takes a backend server's report of the requests that it has.
     pub fn report(&mut self, ticket: Ticket, requests: u32, now: model::Time) {
         let Some(sent) = self.sent.get(&ticket) else {
