--- a/crates/node/src/gateway/follow.rs
+++ b/crates/node/src/gateway/follow.rs
@@ -111,9 +111,9 @@
             }
             Err(e) => {
                 log::warn!(kind, error:% = e; "a call to the store failed");
-                if e == SourceError::HistoryGone {
-                    revision = None;
-                } else {
+                // A list tells at once that the store is back; a watch would wait for a change.
+                revision = None;
+                if e != SourceError::HistoryGone {
                     report(News::Answers(false));
                 }
                 tokio::time::sleep(pause).await;
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::header;
+use tokio::sync::oneshot;
 use xxhash_rust::xxh3;
 use yuccatide_steering::{gateway as decisions, matching};
 
@@ -24,26 +25,49 @@
 /// Header with the idle time-out of a connection.
 const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
 
+/// Time after which a client should come back where nothing tells when there is room.
+const RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
+
 type Reply = http::Response<body::Body>;
 
 /// A request whose head was read.
 struct Job {
     head: http::request::Parts,
     id: String,
-    attempt: u128,
     req: decisions::Request,
 }
 
 /// Gives up a request when its client goes away.
 struct Guard<'a> {
     gateway: &'a gateway::Gateway,
-    ticket: Option<decisions::Ticket>,
+    ticket: decisions::Ticket,
+    is_armed: bool,
+}
+
+impl<'a> Guard<'a> {
+    /// Lets a request wait for a backend server.
+    fn submit(
+        gateway: &'a gateway::Gateway,
+        job: &Job,
+    ) -> (Guard<'a>, oneshot::Receiver<decisions::Decision>) {
+        let (ticket, rx) = gateway.submit(job.req.clone());
+        let guard = Guard {
+            gateway,
+            ticket,
+            is_armed: true,
+        };
+        (guard, rx)
+    }
+
+    fn disarm(&mut self) {
+        self.is_armed = false;
+    }
 }
 
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
-        if let Some(ticket) = self.ticket {
-            self.gateway.abandon(ticket);
+        if self.is_armed {
+            self.gateway.abandon(self.ticket);
         }
     }
 }
@@ -132,12 +156,7 @@
         tried: Vec::new(),
         route,
     };
-    Ok(Job {
-        attempt: xxh3::xxh3_128(id.as_bytes()),
-        head,
-        id,
-        req,
-    })
+    Ok(Job { head, id, req })
 }
 
 /// Objects of different routes are different, also under the same name.
@@ -177,7 +196,7 @@
     }
     match gateway.lines.admit("timeout", gateway.clock.now()) {
         Some(omitted) => log::warn!(
-            request = id, route = route.name, may_have_run = progress.was_sent,
+            request = id, route = route.name, may_have_run = progress.may_have_run || progress.is_sent,
             arrivals = progress.arrivals, waited_ms = left.as_millis() as u64, omitted;
             "the time to answer a request ran out"
         ),
@@ -189,7 +208,7 @@
 }
 
 fn timed_out(progress: &Progress) -> Reply {
-    match progress.was_sent {
+    match progress.may_have_run || progress.is_sent {
         true => status(http::StatusCode::GATEWAY_TIMEOUT, "timeout"),
         false => refusal(
             decisions::Reason::Overload,
@@ -198,14 +217,20 @@
     }
 }
 
+/// How far a request has come.
 #[derive(Default)]
 struct Progress {
     /// Whether a backend server may have run the request.
-    was_sent: bool,
+    may_have_run: bool,
+    /// Whether a sending is in progress.
+    is_sent: bool,
     /// Backend servers that received it.
     arrivals: u32,
+    /// The failure that a backend server answered, for the case that no other one does better.
+    failure: Option<Reply>,
 }
 
+/// Sends a request to backend servers until one answers or no further one may be tried.
 async fn attempts(
     gateway: &gateway::Gateway,
     mut job: Job,
@@ -225,52 +250,45 @@
     };
     let is_whole = rest.is_none();
     loop {
-        let (ticket, rx) = gateway.submit(job.req.clone());
-        let mut guard = Guard {
-            gateway,
-            ticket: Some(ticket),
-        };
-        let decision = match rx.await {
-            Ok(decision) => decision,
-            Err(_) => return refusal(decisions::Reason::Stopping, time::Duration::ZERO),
-        };
-        let (index, entry) = match decision {
-            decisions::Decision::Send(index, entry) => (index, entry),
-            decisions::Decision::Refuse {
+        let (mut guard, rx) = Guard::submit(gateway, &job);
+        let (index, entry) = match rx.await {
+            Ok(decisions::Decision::Send(index, entry)) => (index, entry),
+            Ok(decisions::Decision::Refuse {
                 reason,
                 retry_after,
-            } => {
-                guard.ticket = None;
-                return refuse(gateway, &job, reason, retry_after);
+            }) => {
+                guard.disarm();
+                return give_up(gateway, &job, progress, reason, retry_after);
             }
+            Err(_) => {
+                let reason = decisions::Reason::Stopping;
+                return give_up(gateway, &job, progress, reason, time::Duration::ZERO);
+            }
+        };
+        let body = match rest.take() {
+            None => body::whole(bytes.clone()),
+            Some(rest) => body::chained(bytes.clone(), rest, ()),
         };
-        progress.was_sent = true;
         let sending = Sending {
             gateway,
             job: &job,
             index,
             entry: &entry,
-            number: progress.arrivals + 1,
-        };
-        let body = match rest.take() {
-            None => body::whole(bytes.clone()),
-            Some(rest) => body::chained(bytes.clone(), rest, ()),
+            ticket: guard.ticket,
         };
+        progress.is_sent = true;
         let result = send(&sending, body).await;
-        let outcome = match &result {
-            Ok(answer) => answer.outcome,
-            Err(e) => e.outcome(),
+        progress.is_sent = false;
+        guard.disarm();
+        let (outcome, load) = match &result {
+            Ok(answer) => (answer.outcome, load_of(gateway, &answer.reply)),
+            Err(e) => (e.outcome(), None),
         };
-        guard.ticket = None;
-        let load = result
-            .as_ref()
-            .ok()
-            .and_then(|answer| load_of(gateway, &answer.reply));
-        gateway.finish(ticket, outcome, load);
-        let now = gateway.clock.now();
+        gateway.finish(guard.ticket, outcome, load);
         progress.arrivals += u32::from(outcome.has_arrived());
-        progress.was_sent = !outcome.is_not_run();
+        progress.may_have_run |= !outcome.is_not_run();
         note_sending(gateway, &job, &entry, progress.arrivals, outcome, &result);
+        let now = gateway.clock.now();
         let next = match outcome.next(&job.req, progress.arrivals, now) {
             decisions::Next::Retry { .. } if !is_whole => end_of(outcome),
             decisions::Next::Retry { costs: true } if !gateway.repeat(&job.req.service) => {
@@ -278,17 +296,39 @@
             }
             next => next,
         };
-        match (next, result) {
-            (decisions::Next::Retry { .. }, _) => job.req.tried.push(index),
-            (decisions::Next::Deliver, Ok(answer)) => return answer.reply,
+        let reply = result.ok().map(|answer| answer.reply);
+        match (next, reply) {
+            (decisions::Next::Retry { .. }, reply) => {
+                job.req.tried.push(index);
+                let is_failure = outcome == decisions::Outcome::Failed;
+                progress.failure = reply.filter(|_| is_failure).or(progress.failure.take());
+            }
+            (decisions::Next::Deliver, Some(reply)) => return reply,
             (decisions::Next::Refuse(reason), _) => {
-                return refuse(gateway, &job, reason, time::Duration::from_millis(100));
+                return give_up(gateway, &job, progress, reason, RETRY_AFTER);
             }
             _ => return status(http::StatusCode::BAD_GATEWAY, "the outcome is not known"),
         }
     }
 }
 
+/// Ends a request that is not sent again: it is refused only where it has not run.
+fn give_up(
+    gateway: &gateway::Gateway,
+    job: &Job,
+    progress: &mut Progress,
+    reason: decisions::Reason,
+    retry_after: time::Duration,
+) -> Reply {
+    if let Some(failure) = progress.failure.take() {
+        return failure;
+    }
+    match progress.may_have_run {
+        true => status(http::StatusCode::BAD_GATEWAY, "the outcome is not known"),
+        false => refuse(gateway, job, reason, retry_after),
+    }
+}
+
 /// What follows from an outcome that may not be repeated.
 fn end_of(outcome: decisions::Outcome) -> decisions::Next {
     match outcome {
@@ -337,7 +377,7 @@
     job: &'a Job,
     index: decisions::ServerIndex,
     entry: &'a decisions::Entry,
-    number: u32,
+    ticket: decisions::Ticket,
 }
 
 struct Answer {
@@ -355,10 +395,7 @@
     } = *sending;
     let mut connection = gateway.connections.take(index, entry.address).await?;
     let req = outgoing(sending, body);
-    let attempt = matching::Attempt {
-        id: sending.job.attempt,
-        number: sending.number,
-    };
+    let attempt = attempt_of(sending.ticket);
     let number = connection.number();
     gateway.matching(|pending| pending.sent(attempt, number));
     let unmatch = Unmatch { gateway, number };
@@ -412,6 +449,17 @@
     error::Error::Backend(crate::backend::Error::Broken(e.to_string()))
 }
 
+/// Sending of a request; clients' ids may be missing or used again, tickets are not.
+fn attempt_of(ticket: decisions::Ticket) -> matching::Attempt {
+    matching::Attempt {
+        id: u128::from(ticket),
+        number: 1,
+    }
+}
+
+/// Attempt of an answer that names another request than the one that waits for it.
+const UNKNOWN: matching::Attempt = matching::Attempt { id: 0, number: 0 };
+
 fn arrival(
     sending: &Sending<'_>,
     connection: matching::ConnectionId,
@@ -419,9 +467,9 @@
     received_bytes: u64,
 ) -> matching::Arrival {
     let named = head.headers.get(&sending.gateway.dialect.request_id);
-    let attempt = named.map(|id| matching::Attempt {
-        id: xxh3::xxh3_128(id.as_bytes()),
-        number: sending.number,
+    let attempt = named.map(|id| match id.as_bytes() == sending.job.id.as_bytes() {
+        true => attempt_of(sending.ticket),
+        false => UNKNOWN,
     });
     matching::Arrival {
         connection,
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -45,6 +45,8 @@
     pub wait: f64,
     /// Expected service time.
     pub service: f64,
+    /// Service time where the object is in the cache.
+    pub warm: f64,
     score: f64,
 }
 
@@ -135,6 +137,7 @@
         server: index,
         wait,
         service,
+        warm,
         score: if is_first_try {
             0.0
         } else {
--- a/crates/steering/src/gateway/pool.rs
+++ b/crates/steering/src/gateway/pool.rs
@@ -16,6 +16,9 @@
 /// server would give it up half done.
 const HOPELESS: f64 = 0.7;
 
+/// Part of a route's timeout with which a request is tried, whatever is expected.
+const TRIED_SHARE: f64 = 0.3;
+
 /// Requests of a service that may wait although they miss their objective.
 const LATE_WAITING: u32 = 4;
 
@@ -351,7 +354,9 @@
     let Some(choice) = choice else {
         return Verdict::Refuse(outcome::Reason::NoServer, MIN_RETRY_AFTER);
     };
-    let shortest = time::Duration::from_secs_f64(HOPELESS * choice.service);
+    let shortest = time::Duration::from_secs_f64(HOPELESS * choice.warm);
+    // A route's new requests are always tried: estimates may be wrong, and only answers mend them.
+    let shortest = shortest.min(req.route.timeout.mul_f64(TRIED_SHARE));
     if now + shortest > req.deadline {
         return Verdict::Refuse(outcome::Reason::Deadline, MIN_RETRY_AFTER);
     }
