A started host takes the others' shares; before traffic all hosts come to the same ones

Ruled out: the bound on moves (kept by each host alone). Change: settled shares are told and adopted by a host without traffic; tests of routes are no demand; before traffic nothing is kept, as hosts learn of backend servers in different orders.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -205,6 +205,11 @@
             } else {
                 Vec::new()
             },
+            shares: if sums_up {
+                state.directory.told(now)
+            } else {
+                Vec::new()
+            },
         };
         let mut messages = state.members.beats(&beat);
         if sums_up {
@@ -220,10 +225,11 @@
     ) -> Vec<(net::SocketAddr, decisions::Message)> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let blocks = match &message {
-            decisions::Message::Beat(beat) => &beat.blocks,
-            decisions::Message::Summary { summary, .. } => &summary.blocks,
+        let (blocks, shares) = match &message {
+            decisions::Message::Beat(beat) => (&beat.blocks, &beat.shares),
+            decisions::Message::Summary { summary, .. } => (&summary.blocks, &summary.shares),
         };
+        state.directory.adopt(shares, &self.settings.regions, now);
         for (block, data_centre) in blocks {
             state.arrivals.learn(*block, data_centre);
         }
--- a/crates/steering/src/gateway/directory.rs
+++ b/crates/steering/src/gateway/directory.rs
@@ -11,6 +11,13 @@
 /// Window of the permitted shift.
 const SHIFT_WINDOW: time::Duration = time::Duration::from_secs(2);
 
+/// Time with traffic after which shares have settled: the bound on moves lets three quarters of a
+/// region's callers move in it.
+const SETTLED: time::Duration = time::Duration::from_secs(10);
+
+/// Demand relative to the capacity from which there is traffic, and not only tests of routes.
+const TRAFFIC: f64 = 0.02;
+
 /// Golden ratio: its multiples, without their whole parts, are spread evenly.
 const GOLDEN: f64 = 0.618_033_988_749_894_8;
 
@@ -35,6 +42,19 @@
     pub regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
 }
 
+impl Spread {
+    /// Whether the demand is more than tests of routes.
+    pub(super) fn has_traffic(&self) -> bool {
+        let demand: f64 = self.loads.iter().map(|load| load.slots).sum();
+        let capacity: f64 = self
+            .capacity
+            .values()
+            .flat_map(|slots| slots.values())
+            .sum();
+        demand > TRAFFIC * capacity
+    }
+}
+
 /// Shares of each data centre in the callers of a region.
 pub(super) type Shares = collections::BTreeMap<model::DataCentreId, f64>;
 
@@ -43,7 +63,8 @@
     shares: collections::BTreeMap<model::RegionId, Shares>,
     regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
     stepped: model::Time,
-    has_traffic: bool,
+    /// Since when there is traffic.
+    traffic_since: Option<model::Time>,
 }
 
 /// Divides the callers of each region between data centres, by name.
@@ -69,7 +90,11 @@
 
     /// Moves the shares of a name towards those that its room and demand call for.
     pub fn step(&mut self, name: &str, spread: &Spread, now: model::Time) {
-        let current = self.names.get(name).map(|known| &known.shares);
+        // Before there is traffic nothing is worth keeping: all hosts come to the same shares.
+        let known = self.names.get(name);
+        let current = known
+            .filter(|known| known.traffic_since.is_some())
+            .map(|known| &known.shares);
         let Some(wanted) = targets::targets(spread, current) else {
             return;
         };
@@ -77,16 +102,18 @@
             shares: wanted.clone(),
             regions: spread.regions.clone(),
             stepped: now,
-            has_traffic: false,
+            traffic_since: None,
         });
         let passed = (now - known.stepped).min(SHIFT_WINDOW);
         known.stepped = now;
+        if known.traffic_since.is_none() && spread.has_traffic() {
+            known.traffic_since = Some(now);
+        }
         // Without traffic nothing moves with the shares.
-        let most = match spread.loads.is_empty() && !known.has_traffic {
-            true => 1.0,
-            false => self.max_shift * USED_SHIFT * passed.div_duration_f64(SHIFT_WINDOW),
+        let most = match known.traffic_since {
+            None => 1.0,
+            Some(_) => self.max_shift * USED_SHIFT * passed.div_duration_f64(SHIFT_WINDOW),
         };
-        known.has_traffic |= !spread.loads.is_empty();
         for (region, wanted) in wanted {
             match known.shares.get_mut(&region) {
                 Some(shares) => approach(shares, &wanted, &spread.regions, most),
@@ -97,6 +124,56 @@
         }
     }
 
+    /// Takes the shares that another host uses, where this one has seen no traffic yet: callers
+    /// must not be moved because a host started.
+    pub fn adopt(
+        &mut self,
+        told: &[members::NameShares],
+        regions: &collections::BTreeMap<model::DataCentreId, model::RegionId>,
+        now: model::Time,
+    ) {
+        let is_new = |names: &collections::BTreeMap<String, Name>, name: &str| {
+            names
+                .get(name)
+                .is_none_or(|known| known.traffic_since.is_none())
+        };
+        let told: Vec<&members::NameShares> = told
+            .iter()
+            .filter(|told| is_new(&self.names, &told.name))
+            .collect();
+        for told in told {
+            let known = self.names.entry(told.name.clone()).or_insert_with(|| Name {
+                shares: collections::BTreeMap::new(),
+                regions: regions.clone(),
+                stepped: now,
+                traffic_since: None,
+            });
+            known.traffic_since = Some(now);
+            let total: f64 = told.shares.iter().map(|(_, share)| f64::from(*share)).sum();
+            let shares = told
+                .shares
+                .iter()
+                .map(|(data_centre, share)| (data_centre.clone(), f64::from(*share) / total));
+            known.shares.insert(told.region.clone(), shares.collect());
+        }
+    }
+
+    /// The shares in use, for other hosts; none until they have settled.
+    pub fn told(&self, now: model::Time) -> Vec<members::NameShares> {
+        let has_settled = |known: &Name| known.traffic_since.is_some_and(|at| now > at + SETTLED);
+        self.names
+            .iter()
+            .filter(|(_, known)| has_settled(known))
+            .flat_map(|(name, known)| known.shares.iter().map(move |(r, s)| (name, r, s)))
+            .map(|(name, region, shares)| members::NameShares {
+                name: name.clone(),
+                region: region.clone(),
+                shares: thousandths(shares),
+            })
+            .filter(|told| !told.shares.is_empty())
+            .collect()
+    }
+
     /// Data centres for a caller, the best one first; callers are spread evenly and keep their
     /// place.
     pub fn choose(&self, name: &str, client: &Client) -> Vec<model::DataCentreId> {
@@ -143,6 +220,15 @@
     }
 }
 
+/// Shares in thousandths, without those that round to none.
+fn thousandths(shares: &Shares) -> Vec<(model::DataCentreId, u16)> {
+    shares
+        .iter()
+        .map(|(data_centre, share)| (data_centre.clone(), (share * 1000.0).round() as u16))
+        .filter(|(_, share)| *share > 0)
+        .collect()
+}
+
 /// Position of a caller between 0 and 1; neighbouring addresses lie far apart.
 fn place_of(address: net::IpAddr) -> f64 {
     let number = match address {
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -52,6 +52,8 @@
     pub loads: Vec<Load>,
     /// Blocks of callers and the data centre next to each, as far as it knows.
     pub blocks: Vec<(net::IpAddr, model::DataCentreId)>,
+    /// Shares that its look-ups use; none until it has seen traffic.
+    pub shares: Vec<NameShares>,
 }
 
 /// Demand for one service from the callers of one data centre, of routes that the same regions may
@@ -68,6 +70,17 @@
     pub slots: f64,
 }
 
+/// Shares of each data centre in the callers of a region, for one name, in thousandths.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NameShares {
+    /// Name that callers look up.
+    pub name: String,
+    /// Region of the callers.
+    pub region: model::RegionId,
+    /// Share of each data centre that has one.
+    pub shares: Vec<(model::DataCentreId, u16)>,
+}
+
 /// What the hosts of a data centre tell others.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Summary {
@@ -79,6 +92,8 @@
     pub loads: Vec<Load>,
     /// Blocks of callers and the data centre next to each, as far as the sender knows.
     pub blocks: Vec<(net::IpAddr, model::DataCentreId)>,
+    /// Shares that its look-ups use; none until it has seen traffic.
+    pub shares: Vec<NameShares>,
 }
 
 /// A message between hosts.
@@ -243,6 +258,7 @@
                 .collect(),
             loads: sum_loads(all.flat_map(|beat| &beat.loads)),
             blocks: beat.blocks.clone(),
+            shares: beat.shares.clone(),
         }
     }
 
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -21,7 +21,7 @@
 pub use directory::{Client, Directory, Spread};
 pub use estimate::ServiceTimes;
 pub use fleet::{Fleet, ServerIndex};
-pub use members::{BEAT, Beat, Load, Member, Members, Message, SUMMARY, Summary};
+pub use members::{BEAT, Beat, Load, Member, Members, Message, NameShares, SUMMARY, Summary};
 pub use outcome::{Next, Outcome, Reason};
 pub use policy::{Limits, Part, Policy, Route, Service};
 pub use pool::{Decision, Pool, RetryLimits, Ticket};
--- a/crates/steering/src/gateway/targets.rs
+++ b/crates/steering/src/gateway/targets.rs
@@ -79,12 +79,11 @@
     if total <= 0.0 {
         return None;
     }
-    let measured: f64 = spread.loads.iter().map(|load| load.slots).sum();
     let mut needs: collections::BTreeMap<model::RegionId, Need> = regions
         .iter()
         .map(|region| ((*region).clone(), Need::new()))
         .collect();
-    if measured <= 0.0 {
+    if !spread.has_traffic() {
         for (service, slots) in &spread.capacity {
             let assumed = ASSUMED * slots.values().sum::<f64>() / regions.len() as f64;
             needs.values_mut().for_each(|need| {
--- a/crates/steering/tests/gateway/directory.rs
+++ b/crates/steering/tests/gateway/directory.rs
@@ -157,3 +157,43 @@
         }
     }
 }
+
+#[test]
+fn the_first_counts_move_callers_no_faster_than_later_ones() {
+    let mut directory = gateway::Directory::new(0.15);
+    let room = [("a1", 4.0), ("b1", 60.0)];
+    directory.step("shop", &spread(&room, &[]), ms(0));
+    let before = by_region(&directory, "a")["b"];
+    assert!(before > 0.7, "{before}");
+    // Only one host has reported yet.
+    directory.step("shop", &spread(&room, &[("a1", 1.5)]), ms(500));
+    assert!(before - by_region(&directory, "a")["b"] < 0.05);
+}
+
+#[test]
+fn a_started_host_takes_the_shares_that_have_settled() {
+    let room = [("a1", 10.0), ("a2", 10.0), ("b1", 60.0)];
+    let mut old = gateway::Directory::new(0.15);
+    old.step("shop", &spread(&room, &[]), ms(0));
+    for i in 1..=40 {
+        old.step(
+            "shop",
+            &spread(&room, &[("a1", 30.0), ("b1", 5.0)]),
+            ms(i * 500),
+        );
+        assert_eq!(old.told(ms(i * 500)).is_empty(), i <= 21, "{i}");
+    }
+    let mut new = gateway::Directory::new(0.15);
+    new.step("shop", &spread(&room, &[]), ms(20_000));
+    new.adopt(&old.told(ms(20_000)), &fixtures::regions(), ms(20_000));
+    let (theirs, own) = (by_region(&old, "a"), by_region(&new, "a"));
+    assert!((theirs["b"] - own["b"]).abs() < 0.01, "{theirs:?} {own:?}");
+    // Later ones do not replace its own.
+    new.adopt(&[], &fixtures::regions(), ms(21_000));
+    new.step(
+        "shop",
+        &spread(&room, &[("a1", 30.0), ("b1", 5.0)]),
+        ms(21_000),
+    );
+    assert!((theirs["b"] - by_region(&new, "a")["b"]).abs() < 0.08);
+}
--- a/crates/steering/tests/gateway/members.rs
+++ b/crates/steering/tests/gateway/members.rs
@@ -61,6 +61,7 @@
                     in_flight: Vec::new(),
                     loads: Vec::new(),
                     blocks: Vec::new(),
+                    shares: Vec::new(),
                 };
                 messages.extend(host.beats(&beat));
                 if now_ms % 480 == 0 {
@@ -128,6 +129,7 @@
         in_flight: Vec::new(),
         loads: Vec::new(),
         blocks: Vec::new(),
+        shares: Vec::new(),
     };
     members.receive(gateway::Message::Beat(beat), ms(0));
     assert_eq!(members.ready("a1", true, ms(1)).len(), 2);
