--- a/crates/steering/tests/gateway/budget.rs
+++ b/crates/steering/tests/gateway/budget.rs
@@ -6,6 +6,8 @@
 use crate::fixtures;
 
 proptest! {
+    #![proptest_config(crate::fixtures::config())]
+
     #[test]
     fn repeats_stay_within_the_shared_bound(
         steps in prop::collection::vec((0u64..400, prop::bool::weighted(0.3)), 1..600),
--- a/crates/steering/tests/gateway/directory.rs
+++ b/crates/steering/tests/gateway/directory.rs
@@ -128,6 +128,8 @@
 }
 
 proptest! {
+    #![proptest_config(crate::fixtures::config())]
+
     /// Shares are whole, and no more than the permitted part of a region's callers changes region.
     #[test]
     fn moves_between_regions_keep_their_bound(
--- a/crates/steering/tests/gateway/fixtures.rs
+++ b/crates/steering/tests/gateway/fixtures.rs
@@ -2,8 +2,18 @@
 
 use std::{collections, net, sync, time};
 
+use proptest::test_runner;
 use yuccatide_steering::{gateway, model};
 
+/// Fixed seed, so that each run tries the same cases.
+pub fn config() -> test_runner::Config {
+    test_runner::Config {
+        rng_seed: test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..test_runner::Config::default()
+    }
+}
+
 pub fn ms(ms: u64) -> time::Duration {
     time::Duration::from_millis(ms)
 }
--- a/crates/steering/tests/gateway/pool.rs
+++ b/crates/steering/tests/gateway/pool.rs
@@ -199,6 +199,8 @@
 }
 
 proptest! {
+    #![proptest_config(crate::fixtures::config())]
+
     /// Each request gets one decision, slots are never exceeded, and cold servers keep their rate.
     #[test]
     fn histories(steps in prop::collection::vec(step(), 1..250), hosts in 1usize..4) {
--- a/crates/steering/tests/gateway/routes.rs
+++ b/crates/steering/tests/gateway/routes.rs
@@ -58,6 +58,8 @@
 }
 
 proptest! {
+    #![proptest_config(crate::fixtures::config())]
+
     #[test]
     fn parts_get_their_weights(weights in prop::collection::vec(1u32..100, 2..5)) {
         let mut route = fixtures::route("split");
