--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -2,39 +2,21 @@
 
 use std::{net, sync, time};
 
-use bytes::Bytes;
 use http::header;
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3;
-use yuccatide_steering::{gateway as decisions, matching};
+use yuccatide_steering::gateway as decisions;
 
-use super::{body, dialect, error, gateway};
-
-/// Headers that concern one connection only.
-const HOP_BY_HOP: [header::HeaderName; 8] = [
-    header::CONNECTION,
-    header::PROXY_AUTHENTICATE,
-    header::PROXY_AUTHORIZATION,
-    header::TE,
-    header::TRAILER,
-    header::TRANSFER_ENCODING,
-    header::UPGRADE,
-    header::EXPECT,
-];
-
-/// Header with the idle time-out of a connection.
-const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
+use super::{body, error, gateway, reply, sending};
 
 /// Time after which a client should come back where nothing tells when there is room.
 const RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
 
-type Reply = http::Response<body::Body>;
-
 /// A request whose head was read.
-struct Job {
-    head: http::request::Parts,
-    id: String,
-    req: decisions::Request,
+pub(super) struct Job {
+    pub(super) head: http::request::Parts,
+    pub(super) id: String,
+    pub(super) req: decisions::Request,
 }
 
 /// Gives up a request when its client goes away.
@@ -77,27 +59,27 @@
     gateway: sync::Arc<gateway::Gateway>,
     req: http::Request<hyper::body::Incoming>,
     client: net::IpAddr,
-) -> Reply {
+) -> reply::Reply {
     let start = time::Instant::now();
     let (head, incoming) = req.into_parts();
-    let (route, mut reply) = match admit(&gateway, head, client) {
+    let (route, mut answer) = match admit(&gateway, head, client) {
         Ok(job) => {
             let route = job.req.route.clone();
             (route.name.clone(), serve(&gateway, job, incoming).await)
         }
         Err(reply) => (String::new(), *reply),
     };
-    let result = result_of(&gateway, &reply);
+    let result = result_of(&gateway, &answer);
     gateway.metrics.request(&route, result, start.elapsed());
     if gateway.is_stopping() {
         let close = header::HeaderValue::from_static("close");
-        reply.headers_mut().insert(header::CONNECTION, close);
+        answer.headers_mut().insert(header::CONNECTION, close);
     }
-    reply
+    answer
 }
 
 /// What a client got, as the metrics name it.
-fn result_of(gateway: &gateway::Gateway, reply: &Reply) -> &'static str {
+fn result_of(gateway: &gateway::Gateway, reply: &reply::Reply) -> &'static str {
     let is_servers = reply.headers().contains_key(&gateway.dialect.signature);
     match reply.status() {
         status if status.is_success() => "answered",
@@ -113,14 +95,14 @@
     gateway: &gateway::Gateway,
     head: http::request::Parts,
     client: net::IpAddr,
-) -> Result<Job, Box<Reply>> {
+) -> Result<Job, Box<reply::Reply>> {
     let now = gateway.clock.now();
     let host = head
         .headers
         .get(header::HOST)
         .and_then(|host| host.to_str().ok());
     let Some(host) = host.or_else(|| head.uri.host()) else {
-        return Err(Box::new(status(
+        return Err(Box::new(reply::status(
             http::StatusCode::BAD_REQUEST,
             "no Host header",
         )));
@@ -128,14 +110,18 @@
     let route = match gateway.find(host, head.uri.path()) {
         decisions::Found::Route(route) => route,
         decisions::Found::NoRoute => {
-            return Err(Box::new(status(http::StatusCode::NOT_FOUND, "no route")));
+            return Err(Box::new(reply::status(
+                http::StatusCode::NOT_FOUND,
+                "no route",
+            )));
         }
         decisions::Found::NoPolicy => {
             let pause = time::Duration::from_millis(500);
-            return Err(Box::new(refusal(decisions::Reason::NoPolicy, pause)));
+            return Err(Box::new(reply::refusal(decisions::Reason::NoPolicy, pause)));
         }
     };
-    check_limits(&gateway.limits(), &head).map_err(|code| Box::new(status(code, "too large")))?;
+    check_limits(&gateway.limits(), &head)
+        .map_err(|code| Box::new(reply::status(code, "too large")))?;
     let text = |name: &header::HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
     let id = text(&gateway.dialect.request_id)
         .unwrap_or_default()
@@ -186,7 +172,11 @@
     Ok(())
 }
 
-async fn serve(gateway: &gateway::Gateway, job: Job, incoming: hyper::body::Incoming) -> Reply {
+async fn serve(
+    gateway: &gateway::Gateway,
+    job: Job,
+    incoming: hyper::body::Incoming,
+) -> reply::Reply {
     let left = job.req.deadline.saturating_sub(gateway.clock.now());
     let mut progress = Progress::default();
     let (id, route) = (job.id.clone(), job.req.route.clone());
@@ -207,10 +197,10 @@
     timed_out(&progress)
 }
 
-fn timed_out(progress: &Progress) -> Reply {
+fn timed_out(progress: &Progress) -> reply::Reply {
     match progress.may_have_run || progress.is_sent {
-        true => status(http::StatusCode::GATEWAY_TIMEOUT, "timeout"),
-        false => refusal(
+        true => reply::status(http::StatusCode::GATEWAY_TIMEOUT, "timeout"),
+        false => reply::refusal(
             decisions::Reason::Overload,
             time::Duration::from_millis(100),
         ),
@@ -227,7 +217,7 @@
     /// Backend servers that received it.
     arrivals: u32,
     /// The failure that a backend server answered, for the case that no other one does better.
-    failure: Option<Reply>,
+    failure: Option<reply::Reply>,
 }
 
 /// Sends a request to backend servers until one answers or no further one may be tried.
@@ -236,12 +226,12 @@
     mut job: Job,
     incoming: hyper::body::Incoming,
     progress: &mut Progress,
-) -> Reply {
+) -> reply::Reply {
     let read = match body::read(incoming).await {
         Ok(read) => read,
         Err(e) => {
             log::debug!(request = job.id, error:% = e; "a client's body broke off");
-            return status(http::StatusCode::BAD_REQUEST, "the body broke off");
+            return reply::status(http::StatusCode::BAD_REQUEST, "the body broke off");
         }
     };
     let (bytes, mut rest) = match read {
@@ -269,7 +259,7 @@
             None => body::whole(bytes.clone()),
             Some(rest) => body::chained(bytes.clone(), rest, ()),
         };
-        let sending = Sending {
+        let sending = sending::Sending {
             gateway,
             job: &job,
             index,
@@ -277,11 +267,11 @@
             ticket: guard.ticket,
         };
         progress.is_sent = true;
-        let result = send(&sending, body).await;
+        let result = sending::send(&sending, body).await;
         progress.is_sent = false;
         guard.disarm();
         let (outcome, load) = match &result {
-            Ok(answer) => (answer.outcome, load_of(gateway, &answer.reply)),
+            Ok(answer) => (answer.outcome, sending::load_of(gateway, &answer.reply)),
             Err(e) => (e.outcome(), None),
         };
         gateway.finish(guard.ticket, outcome, load);
@@ -307,7 +297,7 @@
             (decisions::Next::Refuse(reason), _) => {
                 return give_up(gateway, &job, progress, reason, RETRY_AFTER);
             }
-            _ => return status(http::StatusCode::BAD_GATEWAY, "the outcome is not known"),
+            _ => return reply::status(http::StatusCode::BAD_GATEWAY, "the outcome is not known"),
         }
     }
 }
@@ -319,12 +309,12 @@
     progress: &mut Progress,
     reason: decisions::Reason,
     retry_after: time::Duration,
-) -> Reply {
+) -> reply::Reply {
     if let Some(failure) = progress.failure.take() {
         return failure;
     }
     match progress.may_have_run {
-        true => status(http::StatusCode::BAD_GATEWAY, "the outcome is not known"),
+        true => reply::status(http::StatusCode::BAD_GATEWAY, "the outcome is not known"),
         false => refuse(gateway, job, reason, retry_after),
     }
 }
@@ -345,7 +335,7 @@
     entry: &decisions::Entry,
     arrivals: u32,
     outcome: decisions::Outcome,
-    result: &Result<Answer, error::Error>,
+    result: &Result<sending::Answer, error::Error>,
 ) {
     let now = gateway.clock.now();
     if outcome == decisions::Outcome::Answered {
@@ -366,220 +356,12 @@
     );
 }
 
-/// Load that a backend server reports with its answer.
-fn load_of(gateway: &gateway::Gateway, reply: &Reply) -> Option<dialect::ServerLoad> {
-    let text = reply.headers().get(&gateway.dialect.load)?.to_str().ok()?;
-    dialect::ServerLoad::parse(text)
-}
-
-struct Sending<'a> {
-    gateway: &'a gateway::Gateway,
-    job: &'a Job,
-    index: decisions::ServerIndex,
-    entry: &'a decisions::Entry,
-    ticket: decisions::Ticket,
-}
-
-struct Answer {
-    reply: Reply,
-    outcome: decisions::Outcome,
-}
-
-/// Sends a request to a backend server and reads its answer.
-async fn send(sending: &Sending<'_>, body: body::Body) -> Result<Answer, error::Error> {
-    let Sending {
-        gateway,
-        entry,
-        index,
-        ..
-    } = *sending;
-    let mut connection = gateway.connections.take(index, entry.address).await?;
-    let req = outgoing(sending, body);
-    let attempt = attempt_of(sending.ticket);
-    let number = connection.number();
-    gateway.matching(|pending| pending.sent(attempt, number));
-    let unmatch = Unmatch { gateway, number };
-    let response = connection.send(req).await?;
-    let (head, incoming) = response.into_parts();
-    let keep_alive = keep_alive(&head.headers);
-    match body::read(incoming).await.map_err(broken)? {
-        body::Read::Whole(bytes) => {
-            let arrival = arrival(sending, number, &head, bytes.len() as u64);
-            let verdict = gateway.matching(|pending| pending.arrived(arrival));
-            if verdict != matching::Verdict::Deliver(attempt) {
-                return Err(error::Error::Invalid("it does not match the request"));
-            }
-            let outcome = judge(gateway, &head)?;
-            gateway
-                .connections
-                .give_back(index, entry.address, connection, keep_alive);
-            Ok(Answer {
-                reply: reply(head, body::whole(bytes)),
-                outcome,
-            })
-        }
-        body::Read::Partial(bytes, rest) => {
-            if names_other(sending, &head) {
-                return Err(error::Error::Invalid("it does not match the request"));
-            }
-            let outcome = judge(gateway, &head)?;
-            drop(unmatch);
-            let body = body::chained(bytes, rest, connection);
-            Ok(Answer {
-                reply: reply(head, body),
-                outcome,
-            })
-        }
-    }
-}
-
-/// Forgets a sending that ended without an answer.
-struct Unmatch<'a> {
-    gateway: &'a gateway::Gateway,
-    number: matching::ConnectionId,
-}
-
-impl Drop for Unmatch<'_> {
-    fn drop(&mut self) {
-        self.gateway.matching(|pending| pending.broken(self.number));
-    }
-}
-
-fn broken(e: hyper::Error) -> error::Error {
-    error::Error::Backend(crate::backend::Error::Broken(e.to_string()))
-}
-
-/// Sending of a request; clients' ids may be missing or used again, tickets are not.
-fn attempt_of(ticket: decisions::Ticket) -> matching::Attempt {
-    matching::Attempt {
-        id: u128::from(ticket),
-        number: 1,
-    }
-}
-
-/// Attempt of an answer that names another request than the one that waits for it.
-const UNKNOWN: matching::Attempt = matching::Attempt { id: 0, number: 0 };
-
-fn arrival(
-    sending: &Sending<'_>,
-    connection: matching::ConnectionId,
-    head: &http::response::Parts,
-    received_bytes: u64,
-) -> matching::Arrival {
-    let named = head.headers.get(&sending.gateway.dialect.request_id);
-    let attempt = named.map(|id| match id.as_bytes() == sending.job.id.as_bytes() {
-        true => attempt_of(sending.ticket),
-        false => UNKNOWN,
-    });
-    matching::Arrival {
-        connection,
-        attempt,
-        announced_bytes: None,
-        received_bytes,
-        ended: true,
-    }
-}
-
-fn names_other(sending: &Sending<'_>, head: &http::response::Parts) -> bool {
-    let named = head.headers.get(&sending.gateway.dialect.request_id);
-    named.is_some_and(|id| id.as_bytes() != sending.job.id.as_bytes())
-}
-
-/// What a whole answer says, or why it is not one of the backend server.
-fn judge(
-    gateway: &gateway::Gateway,
-    head: &http::response::Parts,
-) -> Result<decisions::Outcome, error::Error> {
-    let dialect = &gateway.dialect;
-    let has = |name: &header::HeaderName| head.headers.contains_key(name);
-    if head.status == http::StatusCode::MISDIRECTED_REQUEST {
-        return Ok(decisions::Outcome::Misdirected);
-    }
-    if has(&dialect.not_run) {
-        return Ok(decisions::Outcome::Shed);
-    }
-    if has(&header::CONTENT_ENCODING) {
-        return Err(error::Error::Invalid("it is encoded"));
-    }
-    if !has(&dialect.request_id) {
-        return Err(error::Error::Invalid("it names no request"));
-    }
-    if head.status.is_success() && !has(&dialect.signature) {
-        return Err(error::Error::Invalid("it is not signed"));
-    }
-    match head.status.is_server_error() {
-        true => Ok(decisions::Outcome::Failed),
-        false => Ok(decisions::Outcome::Answered),
-    }
-}
-
-/// Time after which the backend server closes the idle connection.
-fn keep_alive(headers: &header::HeaderMap) -> Option<time::Duration> {
-    let value = headers.get(KEEP_ALIVE)?.to_str().ok()?;
-    value
-        .split(',')
-        .filter_map(|part| part.trim().strip_prefix("timeout="))
-        .find_map(|seconds| seconds.trim().parse().ok())
-        .map(time::Duration::from_secs)
-}
-
-fn outgoing(sending: &Sending<'_>, body: body::Body) -> http::Request<body::Body> {
-    let Sending {
-        gateway,
-        job,
-        entry,
-        ..
-    } = sending;
-    let mut req = http::Request::new(body);
-    *req.method_mut() = job.head.method.clone();
-    if let Some(path) = job.head.uri.path_and_query() {
-        *req.uri_mut() = http::Uri::from(path.clone());
-    }
-    *req.headers_mut() = forwarded(&job.head.headers);
-    let left = job.req.deadline.saturating_sub(gateway.clock.now());
-    let left = header::HeaderValue::from(left.as_millis().max(1) as u64);
-    req.headers_mut()
-        .insert(gateway.dialect.deadline.clone(), left);
-    match header::HeaderValue::from_str(&entry.id) {
-        Ok(id) => {
-            req.headers_mut().insert(gateway.dialect.target.clone(), id);
-        }
-        Err(e) => log::warn!(server = entry.id, error:% = e; "a server's id fits no header"),
-    }
-    req
-}
-
-/// Headers without those that concern one connection only.
-fn forwarded(headers: &header::HeaderMap) -> header::HeaderMap {
-    let named: Vec<header::HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    headers
-        .iter()
-        .filter(|(name, _)| !HOP_BY_HOP.contains(name) && *name != KEEP_ALIVE)
-        .filter(|(name, _)| !named.contains(name))
-        .map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
-}
-
-/// The backend server's answer as the client gets it.
-fn reply(head: http::response::Parts, body: body::Body) -> Reply {
-    let mut reply = Reply::new(body);
-    *reply.status_mut() = head.status;
-    *reply.headers_mut() = forwarded(&head.headers);
-    reply
-}
-
 fn refuse(
     gateway: &gateway::Gateway,
     job: &Job,
     reason: decisions::Reason,
     retry_after: time::Duration,
-) -> Reply {
+) -> reply::Reply {
     let now = gateway.clock.now();
     gateway.metrics.refusal(reason);
     match gateway.lines.admit("refusal", now) {
@@ -595,22 +377,5 @@
             gateway.metrics.omitted_lines.inc();
         }
     }
-    refusal(reason, retry_after)
-}
-
-/// Tells the client that its request has not run and when to come back.
-fn refusal(reason: decisions::Reason, retry_after: time::Duration) -> Reply {
-    let mut reply = status(http::StatusCode::SERVICE_UNAVAILABLE, reason.as_str());
-    let seconds = format!("{:.3}", retry_after.as_secs_f64());
-    if let Ok(seconds) = header::HeaderValue::from_str(&seconds) {
-        reply.headers_mut().insert(header::RETRY_AFTER, seconds);
-    }
-    reply
-}
-
-/// An answer of the host's own.
-fn status(code: http::StatusCode, line: &str) -> Reply {
-    let mut reply = Reply::new(body::whole(Bytes::from(line.to_string() + "\n")));
-    *reply.status_mut() = code;
-    reply
+    reply::refusal(reason, retry_after)
 }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -20,6 +20,8 @@
 mod gossip;
 mod lines;
 mod metrics;
+mod reply;
+mod sending;
 mod update;
 
 pub use body::Body;
