--- a/crates/node/src/gateway/follow.rs
+++ b/crates/node/src/gateway/follow.rs
@@ -14,10 +14,16 @@
 /// call is priced, and the shortest bound on news is ten times as long.
 const GATHER: time::Duration = time::Duration::from_millis(250);
 
+/// Longest pause after an attempt to connect that failed: it costs the store nothing.
+const MAX_CONNECT_PAUSE: time::Duration = time::Duration::from_millis(200);
+
 /// Why a call to the store failed.
 #[derive(Clone, Debug, Error, PartialEq, Eq)]
 pub enum SourceError {
-    /// The store can't be reached or turned the call away.
+    /// The store can't be reached.
+    #[error("the store can't be reached: {0}")]
+    Unreachable(String),
+    /// The store turned the call away or did not answer it.
     #[error("the store does not answer: {0}")]
     Unavailable(String),
     /// A waiting watch was cut off.
@@ -116,7 +122,11 @@
                 if e != SourceError::HistoryGone {
                     report(News::Answers(false));
                 }
-                tokio::time::sleep(pause).await;
+                let longest = match e {
+                    SourceError::Unreachable(_) => MAX_CONNECT_PAUSE,
+                    _ => MAX_PAUSE,
+                };
+                tokio::time::sleep(pause.min(longest)).await;
                 pause = (pause * 2).min(MAX_PAUSE);
             }
         }
--- a/crates/steering/src/gateway/fleet.rs
+++ b/crates/steering/src/gateway/fleet.rs
@@ -8,9 +8,9 @@
 /// Name of a backend server's description, unique within the process.
 pub type ServerIndex = u64;
 
-/// Time after the store's return within which living backend servers have registered again (the
-/// platform's promise).
-const RETURN_GRACE: time::Duration = time::Duration::from_millis(2000);
+/// Time after the last failed call to the store within which living backend servers have registered
+/// again: the platform's promise of two seconds after the store's return, and a pause between calls.
+const RETURN_GRACE: time::Duration = time::Duration::from_millis(2300);
 
 /// Backend servers of a service, by data centre.
 type Groups = collections::BTreeMap<model::DataCentreId, Vec<ServerIndex>>;
@@ -24,8 +24,8 @@
     evacuated: collections::BTreeSet<model::DataCentreId>,
     warmups: collections::BTreeMap<model::ServiceId, time::Duration>,
     next: ServerIndex,
-    /// Since when the store answers again after an outage.
-    store_back: Option<model::Time>,
+    /// When a call to the store failed last.
+    store_failed: Option<model::Time>,
     store_down: bool,
 }
 
@@ -87,8 +87,8 @@
     /// Takes whether the store answers; tells whether that changed.
     pub fn store_answers(&mut self, answers: bool, now: model::Time) -> bool {
         let has_changed = self.store_down == answers;
-        if self.store_down && answers {
-            self.store_back = Some(now);
+        if !answers {
+            self.store_failed = Some(now);
         }
         self.store_down = !answers;
         has_changed
@@ -211,8 +211,8 @@
     fn doubts_absence(&self, now: model::Time) -> bool {
         self.store_down
             || self
-                .store_back
-                .is_some_and(|back| now < back + RETURN_GRACE)
+                .store_failed
+                .is_some_and(|failed| now < failed + RETURN_GRACE)
     }
 
     fn forget(&mut self, index: ServerIndex) {
