Bound moves of callers from their first look-up

Shares moved freely until demand was measured, two seconds into the traffic; a backend server that could not be reached for a moment changed the room and with it the data centre of a whole region's callers. Ruled out: the first counts (bounded before). Change: shares are bounded and kept from the first look-up that they answer; a test that fails before.

--- a/crates/steering/src/gateway/directory.rs
+++ b/crates/steering/src/gateway/directory.rs
@@ -63,6 +63,8 @@
     shares: collections::BTreeMap<model::RegionId, Shares>,
     regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
     stepped: model::Time,
+    /// Whether callers have been told of the shares.
+    is_asked: bool,
     /// Since when there is traffic.
     traffic_since: Option<model::Time>,
 }
@@ -93,7 +95,7 @@
         // Before there is traffic nothing is worth keeping: all hosts come to the same shares.
         let known = self.names.get(name);
         let current = known
-            .filter(|known| known.traffic_since.is_some())
+            .filter(|known| known.traffic_since.is_some() || known.is_asked)
             .map(|known| &known.shares);
         let Some(wanted) = targets::targets(spread, current) else {
             return;
@@ -102,6 +104,7 @@
             shares: wanted.clone(),
             regions: spread.regions.clone(),
             stepped: now,
+            is_asked: false,
             traffic_since: None,
         });
         let passed = (now - known.stepped).min(SHIFT_WINDOW);
@@ -109,10 +112,10 @@
         if known.traffic_since.is_none() && spread.has_traffic() {
             known.traffic_since = Some(now);
         }
-        // Without traffic nothing moves with the shares.
-        let most = match known.traffic_since {
-            None => 1.0,
-            Some(_) => self.max_shift * USED_SHIFT * passed.div_duration_f64(SHIFT_WINDOW),
+        // Before callers are told of the shares nothing moves with them.
+        let most = match known.traffic_since.is_some() || known.is_asked {
+            false => 1.0,
+            true => self.max_shift * USED_SHIFT * passed.div_duration_f64(SHIFT_WINDOW),
         };
         for (region, wanted) in wanted {
             match known.shares.get_mut(&region) {
@@ -146,6 +149,7 @@
                 shares: collections::BTreeMap::new(),
                 regions: regions.clone(),
                 stepped: now,
+                is_asked: false,
                 traffic_since: None,
             });
             known.traffic_since = Some(now);
@@ -176,8 +180,11 @@
 
     /// Data centres for a caller, the best one first; callers are spread evenly and keep their
     /// place.
-    pub fn choose(&self, name: &str, client: &Client) -> Vec<model::DataCentreId> {
+    pub fn choose(&mut self, name: &str, client: &Client) -> Vec<model::DataCentreId> {
         let own = &client.data_centre;
+        if let Some(known) = self.names.get_mut(name) {
+            known.is_asked = true;
+        }
         let shares = self
             .names
             .get(name)
--- a/crates/steering/tests/gateway/directory.rs
+++ b/crates/steering/tests/gateway/directory.rs
@@ -199,3 +199,17 @@
     );
     assert!((theirs["b"] - by_region(&new, "a")["b"]).abs() < 0.08);
 }
+
+#[test]
+fn a_change_of_room_moves_callers_in_steps_once_they_have_asked() {
+    let client = gateway::Client {
+        address: net::IpAddr::from([10, 0, 0, 1]),
+        data_centre: "a1".to_string(),
+    };
+    let mut directory = gateway::Directory::new(0.15);
+    directory.step("shop", &spread(&[("a1", 4.0), ("b1", 60.0)], &[]), ms(0));
+    let before = by_region(&directory, "a")["b"];
+    directory.choose("shop", &client);
+    directory.step("shop", &spread(&[("a1", 60.0), ("b1", 4.0)], &[]), ms(500));
+    assert!(before - by_region(&directory, "a")["b"] < 0.05);
+}
