Count left-out log lines in one place; use the one pause for clients

Cause: three places counted a line that the bound left out, and the time-out wrote the pause before a client's return a second time. Change: Gateway::admit_line, RETRY_AFTER; behaviour as before.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -184,15 +184,12 @@
     if let Ok(reply) = served {
         return reply;
     }
-    match gateway.lines.admit("timeout", gateway.clock.now()) {
-        Some(omitted) => log::warn!(
+    if let Some(omitted) = gateway.admit_line("timeout") {
+        log::warn!(
             request = id, route = route.name, may_have_run = progress.may_have_run || progress.is_sent,
             arrivals = progress.arrivals, waited_ms = left.as_millis() as u64, omitted;
             "the time to answer a request ran out"
-        ),
-        None => {
-            gateway.metrics.omitted_lines.inc();
-        }
+        );
     }
     timed_out(&progress)
 }
@@ -200,10 +197,7 @@
 fn timed_out(progress: &Progress) -> reply::Reply {
     match progress.may_have_run || progress.is_sent {
         true => reply::status(http::StatusCode::GATEWAY_TIMEOUT, "timeout"),
-        false => reply::refusal(
-            decisions::Reason::Overload,
-            time::Duration::from_millis(100),
-        ),
+        false => reply::refusal(decisions::Reason::Overload, RETRY_AFTER),
     }
 }
 
@@ -341,8 +335,7 @@
     if outcome == decisions::Outcome::Answered {
         return;
     }
-    let Some(omitted) = gateway.lines.admit("sending", now) else {
-        gateway.metrics.omitted_lines.inc();
+    let Some(omitted) = gateway.admit_line("sending") else {
         return;
     };
     log::warn!(
@@ -364,18 +357,15 @@
 ) -> reply::Reply {
     let now = gateway.clock.now();
     gateway.metrics.refusal(reason);
-    match gateway.lines.admit("refusal", now) {
-        Some(omitted) => log::info!(
+    if let Some(omitted) = gateway.admit_line("refusal") {
+        log::info!(
             request = job.id, route = job.req.route.name, service = job.req.service,
             reason = reason.as_str(), retry_after_ms = retry_after.as_millis() as u64,
             has_returned = job.req.has_returned, tried = job.req.tried.len(),
             age_ms = now.saturating_sub(job.req.arrived).as_millis() as u64,
             left_ms = job.req.deadline.saturating_sub(now).as_millis() as u64, omitted;
             "a request was refused"
-        ),
-        None => {
-            gateway.metrics.omitted_lines.inc();
-        }
+        );
     }
     reply::refusal(reason, retry_after)
 }
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -32,7 +32,7 @@
     pub(super) dialect: dialect::Dialect,
     pub(super) clock: clock::Clock,
     pub(super) connections: connections::Connections,
-    pub(super) lines: lines::Lines,
+    lines: lines::Lines,
     /// Counters, histograms and gauges.
     pub metrics: metrics::Metrics,
     own: model::DataCentreId,
@@ -321,6 +321,15 @@
         state.pool.repeat(service, hosts, now)
     }
 
+    /// Whether a log line of a kind is written, with the number of lines left out before it.
+    pub(super) fn admit_line(&self, kind: &'static str) -> Option<u64> {
+        let admitted = self.lines.admit(kind, self.clock.now());
+        if admitted.is_none() {
+            self.metrics.omitted_lines.inc();
+        }
+        admitted
+    }
+
     /// Matches answers to sendings.
     pub(super) fn matching<T>(&self, f: impl FnOnce(&mut matching::Pending) -> T) -> T {
         f(&mut self.lock().matching)
