Serve routes with few requests their part in overload

Cause: a request of a route that was just added counts as late from the start (nothing is known of its work, and the assumed time is longer than its objective), and late requests are refused while others wait. Ruled out: the version's delay (all hosts had it five seconds before), missing servers. Change: a route that gets less than 0.4 of its service's admitted share, and has at most a twentieth of its requests, goes first and may wait for as long as it can still be tried.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -386,6 +386,7 @@
             self.splits.retain(policy);
             self.returns.retain(policy);
             self.pool.set_services(&policy.services);
+            self.pool.retain_routes(policy);
         }
         log::info!(version; "a configuration is in force");
     }
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod directory;
 mod estimate;
+mod fairness;
 mod fleet;
 mod members;
 mod outcome;
--- a/crates/steering/src/gateway/pool.rs
+++ b/crates/steering/src/gateway/pool.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use super::{budget, estimate, fleet, outcome, placement, policy, request, server};
+use super::{budget, estimate, fairness, fleet, outcome, placement, policy, request, server};
 use crate::model;
 
 /// Number of a request within the process.
@@ -77,6 +77,7 @@
     waiting: collections::BTreeMap<model::ServiceId, Vec<Waiting>>,
     sent: collections::HashMap<Ticket, Sent>,
     budgets: collections::BTreeMap<model::ServiceId, budget::RetryBudget>,
+    fairness: collections::BTreeMap<model::ServiceId, fairness::Fairness>,
     services: collections::BTreeMap<model::ServiceId, policy::Service>,
     limits: RetryLimits,
     next: Ticket,
@@ -97,6 +98,7 @@
             waiting: collections::BTreeMap::new(),
             sent: collections::HashMap::new(),
             budgets: collections::BTreeMap::new(),
+            fairness: collections::BTreeMap::new(),
             services: collections::BTreeMap::new(),
             limits,
             next: 0,
@@ -123,10 +125,26 @@
         self.fleet.set_warmups(warmups.collect());
     }
 
+    /// Forgets routes that the configuration no longer has.
+    pub fn retain_routes(&mut self, policy: &policy::Policy) {
+        let names: collections::HashSet<&str> = policy
+            .routes
+            .iter()
+            .map(|route| route.name.as_str())
+            .collect();
+        self.fairness
+            .values_mut()
+            .for_each(|fairness| fairness.retain(|route| names.contains(route)));
+    }
+
     /// Lets a request wait; a decision follows from [`Pool::decide`].
     pub fn submit(&mut self, req: request::Request) -> Ticket {
         self.next += 1;
         let ticket = self.next;
+        if req.tried.is_empty() {
+            let fairness = self.fairness.entry(req.service.clone()).or_default();
+            fairness.offered(&req.route.name, req.arrived);
+        }
         let queue = self.waiting.entry(req.service.clone()).or_default();
         queue.push(Waiting {
             ticket,
@@ -136,8 +154,8 @@
         ticket
     }
 
-    /// Decides on the requests that wait: those that can still meet their objective first, by
-    /// rank, then by arrival.  `hosts` share the bound of cold backend servers.
+    /// Decides on the requests that wait: those of starved routes first, then those that can still
+    /// meet their objective, by rank, then by arrival.  `hosts` share the bound of cold backend servers.
     pub fn decide(&mut self, hosts: usize, now: model::Time) -> Vec<(Ticket, Decision)> {
         let services: Vec<model::ServiceId> = self.waiting.keys().cloned().collect();
         services
@@ -254,9 +272,10 @@
             let choice = placement::choose(&cx, &waiting.req, now);
             let is_new = waiting.service.is_none();
             waiting.service = choice.map(|choice| choice.service);
-            match verdict(&waiting.req, choice, is_new, late, now) {
+            let is_starved = self.is_starved(&waiting.req);
+            match verdict(&waiting.req, choice, is_new, is_starved, late, now) {
                 Verdict::Wait(server) => {
-                    late += u32::from(self.order(&waiting, now).0);
+                    late += u32::from(self.order(&waiting, now).is_late);
                     *ahead.entry(server).or_insert(0) += 1;
                     left.push(waiting);
                 }
@@ -284,20 +303,27 @@
         decisions
     }
 
-    /// Order in which requests get slots: those that can still meet their objective, by rank; of
-    /// equal ones those that were refused before.
-    fn order(&self, waiting: &Waiting, now: model::Time) -> (bool, u32, bool, model::Time) {
+    /// Order in which requests get slots: those of starved routes, then those that can still meet
+    /// their objective, by rank; of equal ones those that were refused before.
+    fn order(&self, waiting: &Waiting, now: model::Time) -> Order {
         let req = &waiting.req;
         let service = waiting
             .service
             .unwrap_or_else(|| self.times.expect(&req.route, true));
         let done = now + time::Duration::from_secs_f64(service);
-        (
-            done > req.objective(),
-            req.route.rank,
-            !req.has_returned,
-            req.arrived,
-        )
+        Order {
+            is_served: !self.is_starved(req),
+            is_late: done > req.objective(),
+            rank: req.route.rank,
+            is_first: !req.has_returned,
+            arrived: req.arrived,
+        }
+    }
+
+    fn is_starved(&self, req: &request::Request) -> bool {
+        self.fairness
+            .get(&req.service)
+            .is_some_and(|fairness| fairness.is_starved(&req.route.name))
     }
 
     /// Time between two requests of this host to a cold backend server, so that all hosts together
@@ -323,6 +349,11 @@
     ) -> Option<server::Entry> {
         let server = self.fleet.get_mut(choice.server)?;
         let was_warm = req.object.is_some_and(|object| server.is_warm_for(object));
+        if req.tried.is_empty()
+            && let Some(fairness) = self.fairness.get_mut(&req.service)
+        {
+            fairness.admitted(&req.route.name);
+        }
         server.sent(ticket, req.object, choice.service, interval, now);
         let entry = server.entry.clone();
         let server = choice.server;
@@ -338,6 +369,19 @@
     }
 }
 
+/// Order in which requests get slots; the smallest one first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Order {
+    /// Whether its route gets its part of the service.
+    is_served: bool,
+    /// Whether it can no longer meet its objective.
+    is_late: bool,
+    rank: u32,
+    /// Whether it comes for the first time.
+    is_first: bool,
+    arrived: model::Time,
+}
+
 enum Verdict {
     Send(placement::Choice),
     Wait(fleet::ServerIndex),
@@ -348,6 +392,7 @@
     req: &request::Request,
     choice: Option<placement::Choice>,
     is_new: bool,
+    is_starved: bool,
     late: u32,
     now: model::Time,
 ) -> Verdict {
@@ -364,17 +409,22 @@
         return Verdict::Send(choice);
     }
     let wait = time::Duration::from_secs_f64(choice.wait);
-    let done = now + wait + time::Duration::from_secs_f64(choice.service);
+    // Little is known of the work of a route of which little is served.
+    let work = match is_starved {
+        true => shortest,
+        false => time::Duration::from_secs_f64(choice.service),
+    };
+    let done = now + wait + work;
     let has = req.deadline.saturating_sub(req.arrived);
     // Once it waits, a request is refused only where it can no longer be served.
-    let latest = match (is_new, req.has_returned) {
+    let latest = match (is_new && !is_starved, req.has_returned) {
         (true, false) => req.objective().max(req.arrived + has.mul_f64(LATE_SHARE)),
         (true, true) => req.arrived + has.mul_f64(RETURNED_SHARE),
         (false, _) => req.deadline,
     };
     // Requests that miss their objective get the slots that others leave: few of them may wait.
     let is_late = done > req.objective();
-    let has_place = !is_new || req.has_returned || !is_late || late < LATE_WAITING;
+    let has_place = !is_new || is_starved || req.has_returned || !is_late || late < LATE_WAITING;
     match done <= latest && has_place {
         true => Verdict::Wait(choice.server),
         false => Verdict::Refuse(outcome::Reason::Overload, wait.max(MIN_RETRY_AFTER)),
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod directory;
+mod fairness;
 mod fixtures;
 mod fleet;
 mod members;
