Call the store less: longer pauses between news, one trial at a time, a stale first list

Cause: each host watched the backend servers' entries with a pause of 250 ms between calls, and in an outage each of its three watches tried again on its own. Ruled out: registration and the hosts' list (two calls a host). Change: 800 ms between news of backend servers; while the store does not answer one kind tries and the others wait for its success; no pause after a list; the first list of the entries may be stale, as the watch from its revision brings the rest. Tests in virtual time.

--- a/crates/node/src/gateway/follow.rs
+++ b/crates/node/src/gateway/follow.rs
@@ -3,6 +3,7 @@
 use std::{future, pin, time};
 
 use thiserror::Error;
+use tokio::sync;
 
 /// First pause after a failed call; it doubles with each further one.
 const PAUSE: time::Duration = time::Duration::from_millis(100);
@@ -10,10 +11,6 @@
 /// Longest pause after a failed call: news may wait for it after the store's return.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(500);
 
-/// Pause after a watch that brought changes, so that those of a moment come with one call: every
-/// call is priced, and the shortest bound on news is ten times as long.
-const GATHER: time::Duration = time::Duration::from_millis(250);
-
 /// Longest pause after an attempt to connect that failed: it costs the store nothing.
 const MAX_CONNECT_PAUSE: time::Duration = time::Duration::from_millis(200);
 
@@ -67,14 +64,33 @@
 /// A future of a call to the store.
 type Call<T> = pin::Pin<Box<dyn future::Future<Output = Result<T, SourceError>> + Send>>;
 
+/// How recent a list has to be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Freshness {
+    /// It may be seconds old: a watch from its revision brings what it misses, and it costs less.
+    MayBeStale,
+    /// It tells what is there now.
+    Current,
+}
+
 /// Calls that read one kind of object.
 pub struct Source<T> {
     /// Lists all objects.
-    pub list: Box<dyn Fn() -> Call<Listing<T>> + Send>,
+    pub list: Box<dyn Fn(Freshness) -> Call<Listing<T>> + Send>,
     /// Waits for changes since a revision.
     pub watch: Box<dyn Fn(u64) -> Call<Events<T>> + Send>,
 }
 
+/// How one kind of object is followed.
+#[derive(Clone, Copy, Debug)]
+pub struct Pace {
+    /// How recent the first list has to be.
+    pub first: Freshness,
+    /// Pause after a watch that brought changes, so that those of a moment come with one call:
+    /// every call is priced.
+    pub gather: time::Duration,
+}
+
 /// News of one kind of object.
 #[derive(Clone, Debug)]
 pub enum News<T> {
@@ -86,19 +102,86 @@
     Answers(bool),
 }
 
+/// Whether a store answers, for all that follow it: while it does not, one of them tries again and
+/// the others wait for its success.
+#[derive(Debug)]
+pub struct Access {
+    answers: sync::watch::Sender<bool>,
+    /// Pause before the next trial.
+    trial: sync::Mutex<time::Duration>,
+}
+
+/// Permission to call the store; a trial while it does not answer.
+type Turn<'a> = Option<sync::MutexGuard<'a, time::Duration>>;
+
+impl Default for Access {
+    fn default() -> Access {
+        Access {
+            answers: sync::watch::Sender::new(true),
+            trial: sync::Mutex::new(PAUSE),
+        }
+    }
+}
+
+impl Access {
+    /// Waits until the store may be called.
+    async fn turn(&self) -> Turn<'_> {
+        let mut answers = self.answers.subscribe();
+        loop {
+            if *answers.borrow_and_update() {
+                return None;
+            }
+            tokio::select! {
+                trial = self.trial.lock() => return Some(trial),
+                // The sender lives as long as `self`.
+                _ = answers.changed() => {}
+            }
+        }
+    }
+
+    /// Takes that the store answered.
+    fn answered(&self, turn: Turn<'_>) {
+        if let Some(mut pause) = turn {
+            *pause = PAUSE;
+        }
+        self.answers.send_replace(true);
+    }
+
+    /// Takes that it did not, and waits before the next trial.
+    async fn failed(&self, turn: Turn<'_>, longest: time::Duration) {
+        self.answers.send_replace(false);
+        match turn {
+            Some(mut pause) => {
+                tokio::time::sleep((*pause).min(longest)).await;
+                *pause = (*pause * 2).min(MAX_PAUSE);
+            }
+            None => tokio::time::sleep(PAUSE).await,
+        }
+    }
+}
+
 /// Reports all objects of a kind and then each change, for ever.
-pub async fn follow<T>(kind: &str, source: Source<T>, mut report: impl FnMut(News<T>)) {
-    let mut pause = PAUSE;
+pub async fn follow<T>(
+    kind: &str,
+    pace: Pace,
+    access: &Access,
+    source: Source<T>,
+    mut report: impl FnMut(News<T>),
+) {
+    let mut freshness = pace.first;
     let mut revision = None;
     loop {
+        let turn = access.turn().await;
+        let mut is_gathering = false;
         let result = match revision {
-            None => (source.list)().await.map(|listing| {
+            None => (source.list)(freshness).await.map(|listing| {
                 revision = Some(listing.revision);
                 report(News::Answers(true));
                 report(News::All(listing.objects));
             }),
             Some(since) => (source.watch)(since).await.map(|events| {
                 revision = Some(events.revision.max(since));
+                is_gathering = !events.changes.is_empty();
                 report(News::Answers(true));
                 events
                     .changes
@@ -106,28 +189,33 @@
                     .for_each(|change| report(News::Change(change)));
             }),
         };
+        freshness = Freshness::Current;
         match result {
             Ok(()) => {
-                pause = PAUSE;
-                tokio::time::sleep(GATHER).await;
+                access.answered(turn);
+                if is_gathering {
+                    tokio::time::sleep(pace.gather).await;
+                }
             }
             Err(SourceError::CutOff(reason)) => {
                 log::debug!(kind, reason:%; "a watch of the store was cut off");
+                drop(turn);
                 tokio::time::sleep(PAUSE).await;
             }
             Err(e) => {
                 log::warn!(kind, error:% = e; "a call to the store failed");
                 // A list tells at once that the store is back; a watch would wait for a change.
                 revision = None;
-                if e != SourceError::HistoryGone {
-                    report(News::Answers(false));
+                if e == SourceError::HistoryGone {
+                    access.answered(turn);
+                    continue;
                 }
+                report(News::Answers(false));
                 let longest = match e {
                     SourceError::Unreachable(_) => MAX_CONNECT_PAUSE,
                     _ => MAX_PAUSE,
                 };
-                tokio::time::sleep(pause.min(longest)).await;
-                pause = (pause * 2).min(MAX_PAUSE);
+                access.failed(turn, longest).await;
             }
         }
     }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -26,7 +26,9 @@
 
 pub use body::Body;
 pub use dialect::{Dialect, ServerLoad};
-pub use follow::{Change, Events, Listing, News, Source, SourceError, follow};
+pub use follow::{
+    Access, Change, Events, Freshness, Listing, News, Pace, Source, SourceError, follow,
+};
 pub use front::Front;
 pub use gateway::{Gateway, Settings};
 pub use gossip::gossip;
--- /dev/null
+++ b/crates/node/tests/gateway_follow.rs
@@ -0,0 +1,147 @@
+//! Following a store: how many calls it takes, and when news arrive.  Time is virtual.
+
+use std::{sync, sync::atomic, time::Duration};
+
+use tokio::time;
+use yuccatide_node::gateway::{
+    Access, Change, Events, Freshness, Listing, News, Pace, Source, SourceError, follow,
+};
+
+const PACE: Pace = Pace {
+    first: Freshness::MayBeStale,
+    gather: Duration::from_millis(800),
+};
+
+/// A store that changes at a steady rate, and is down on demand.
+#[derive(Default)]
+struct Store {
+    is_down: atomic::AtomicBool,
+    calls: atomic::AtomicU32,
+    lists: sync::Mutex<Vec<Freshness>>,
+}
+
+impl Store {
+    fn source(self: &sync::Arc<Store>, event_gap: Duration) -> Source<u64> {
+        let (lister, watcher) = (self.clone(), self.clone());
+        Source {
+            list: Box::new(move |freshness| {
+                let store = lister.clone();
+                Box::pin(async move {
+                    store.call()?;
+                    store.lists.lock().unwrap().push(freshness);
+                    Ok(Listing {
+                        objects: vec![0],
+                        revision: 1,
+                    })
+                })
+            }),
+            watch: Box::new(move |since| {
+                let store = watcher.clone();
+                Box::pin(async move {
+                    store.call()?;
+                    time::sleep(event_gap).await;
+                    store.up()?;
+                    Ok(Events {
+                        changes: vec![Change::Set(since)],
+                        revision: since + 1,
+                    })
+                })
+            }),
+        }
+    }
+
+    fn call(&self) -> Result<(), SourceError> {
+        self.calls.fetch_add(1, atomic::Ordering::Relaxed);
+        self.up()
+    }
+
+    fn up(&self) -> Result<(), SourceError> {
+        match self.is_down.load(atomic::Ordering::Relaxed) {
+            true => Err(SourceError::Unavailable("status 503".to_string())),
+            false => Ok(()),
+        }
+    }
+
+    fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, atomic::Ordering::Relaxed);
+    }
+
+    fn take_calls(&self) -> u32 {
+        self.calls.swap(0, atomic::Ordering::Relaxed)
+    }
+}
+
+/// Follows three kinds for a while; counts the times at which each was told that the store answers.
+async fn follow_three(
+    store: &sync::Arc<Store>,
+    event_gap: Duration,
+    lasting: Duration,
+) -> [u32; 3] {
+    let access = Access::default();
+    let mut told = [0; 3];
+    let [a, b, c] = &mut told;
+    let one = |count: &mut u32, news: News<u64>| {
+        if matches!(news, News::Answers(true)) {
+            *count += 1;
+        }
+    };
+    let all = async {
+        tokio::join!(
+            follow("a", PACE, &access, store.source(event_gap), |news| one(
+                a, news
+            )),
+            follow("b", PACE, &access, store.source(event_gap), |news| one(
+                b, news
+            )),
+            follow("c", PACE, &access, store.source(event_gap), |news| one(
+                c, news
+            )),
+        )
+    };
+    assert!(time::timeout(lasting, all).await.is_err());
+    told
+}
+
+#[tokio::test(start_paused = true)]
+async fn changes_of_a_moment_come_with_one_call() {
+    let store = sync::Arc::new(Store::default());
+    follow_three(&store, Duration::from_millis(10), Duration::from_secs(10)).await;
+    let calls = store.take_calls();
+    assert!(calls <= 3 * 14, "{calls}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn one_kind_tries_while_the_store_is_away() {
+    let store = sync::Arc::new(Store::default());
+    store.set_down(true);
+    follow_three(&store, Duration::from_secs(5), Duration::from_secs(10)).await;
+    let calls = store.take_calls();
+    // Ten seconds of trials half a second apart, the first ones faster.
+    assert!((15..=26).contains(&calls), "{calls}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn all_kinds_read_anew_once_the_store_is_back() {
+    let store = sync::Arc::new(Store::default());
+    let switch = store.clone();
+    let script = tokio::spawn(async move {
+        time::sleep(Duration::from_secs(2)).await;
+        switch.set_down(true);
+        time::sleep(Duration::from_secs(6)).await;
+        switch.set_down(false);
+        switch.lists.lock().unwrap().clear();
+        time::sleep(Duration::from_millis(600)).await;
+        let lists = switch.lists.lock().unwrap().clone();
+        assert_eq!(lists, [Freshness::Current; 3]);
+    });
+    let told = follow_three(&store, Duration::from_secs(1), Duration::from_secs(12)).await;
+    assert!(told.iter().all(|count| *count >= 4), "{told:?}");
+    script.await.unwrap();
+}
+
+#[tokio::test(start_paused = true)]
+async fn only_the_first_list_may_be_stale() {
+    let store = sync::Arc::new(Store::default());
+    follow_three(&store, Duration::from_secs(1), Duration::from_secs(3)).await;
+    assert_eq!(*store.lists.lock().unwrap(), [Freshness::MayBeStale; 3]);
+}
