Add a randomized soak of the real daemon as processes

Cause: tests in virtual time and the stand-ins inside one process show nothing of signals, resets and silent connections. Change: crates/soak starts the daemon as processes on loopback addresses of their own, beside the platform's stand-ins (moved to platform/standins), puts a proxy on each link, and injects faults by a plan that follows from the seed: kills, stops, pauses, reloads; delayed, reset, silent and one-way links; a store that is busy, silent, slow, loses answers or its history; backend servers that crash, leave, vanish, are replaced under their address, are slow or spoil answers; versions, storms and evacuations. It judges eleven promises by what callers and backend servers saw. A short seeded run without time-bound promises is part of the tests of platform/.

--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,12 @@
+//! A randomized soak: the real daemon as separate processes, with faults injected from outside.
+
+pub mod book;
+pub mod flags;
+pub mod host;
+pub mod judge;
+pub mod plan;
+pub mod proxy;
+pub mod run;
+pub mod server;
+pub mod traffic;
+pub mod world;
--- /dev/null
+++ b/crates/soak/src/plan.rs
@@ -0,0 +1,232 @@
+//! What happens in a run: it follows from the seed alone.
+
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_pcg::Pcg64;
+use serde::Serialize;
+
+/// Time without faults at the start: hosts come up and callers spread.
+const START: Duration = Duration::from_secs(4);
+
+/// Length of a time with faults, and of the time after it in which only planned work happens; the
+/// promises with a time bound are checked in the latter.
+const FAULTY: Duration = Duration::from_secs(9);
+const CALM: Duration = Duration::from_secs(11);
+
+/// Numbers of what there is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Entry hosts.
+    pub hosts: usize,
+    /// Places of backend servers.
+    pub servers: usize,
+    /// Data centres.
+    pub data_centres: usize,
+}
+
+/// What is wrong with a link.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Trouble {
+    /// Bytes come late.
+    Delay,
+    /// Connections are reset, new ones too.
+    Reset,
+    /// Connections go silent for good; new ones too.
+    Silent,
+    /// Bytes pass only towards the accepting side.
+    OneWay,
+}
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum StoreTrouble {
+    /// It turns all calls away.
+    Busy,
+    /// It answers nothing.
+    Silent,
+    /// It answers late.
+    Slow,
+    /// It applies writes late and does not answer them.
+    LosesWrites,
+    /// It drops its history, and stale reads lag.
+    Compacts,
+}
+
+/// What is wrong with the answers of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Spoilt {
+    /// They end early.
+    Cut,
+    /// A second answer follows each.
+    Doubled,
+    /// They are lost after the request has run.
+    Lost,
+    /// They name another request.
+    Crossed,
+    /// They report a failure.
+    Failed,
+}
+
+/// One kind of event, with its target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Fault {
+    /// A host is killed and started again at the end.
+    Kill(usize),
+    /// All hosts are killed and started again at the end.
+    KillAll,
+    /// A host is stopped by SIGTERM and started again after it has exited.
+    Stop(usize),
+    /// A host stands still.
+    Pause(usize),
+    /// A host's settings change and it gets SIGHUP.
+    Reload(usize),
+    /// The link of callers to a host.
+    Callers(usize, Trouble),
+    /// The link of a host to the store.
+    StoreLink(usize, Trouble),
+    /// The link of all hosts to a backend server.
+    ServerLink(usize, Trouble),
+    /// The store.
+    Store(StoreTrouble),
+    /// A backend server crashes; another one starts in its place at the end.
+    Crash(usize),
+    /// A backend server reports that it leaves; another one starts in its place at the end.
+    Drain(usize),
+    /// A backend server's entry is removed while it still serves.
+    Vanish(usize),
+    /// A backend server crashes and one of another service takes its address.
+    Reuse(usize),
+    /// A backend server takes several times as long.
+    Slow(usize),
+    /// A backend server spoils part of its answers.
+    Spoil(usize, Spoilt),
+    /// Operators change the configuration.
+    Config,
+    /// Operators change the configuration several times in a row.
+    Storm,
+    /// A data centre is emptied and taken back at the end.
+    Evacuate(usize),
+}
+
+impl Fault {
+    /// Whether it is planned work, which disturbs no promise with a time bound.
+    pub fn is_planned(self) -> bool {
+        matches!(
+            self,
+            Fault::Stop(_)
+                | Fault::Reload(_)
+                | Fault::Drain(_)
+                | Fault::Vanish(_)
+                | Fault::Config
+                | Fault::Storm
+                | Fault::Evacuate(_)
+        )
+    }
+
+    /// Name for the counts of a verdict.
+    pub fn name(self) -> String {
+        let text = format!("{self:?}");
+        let digits = |c: char| c.is_ascii_digit() || matches!(c, '(' | ')' | ',' | ' ');
+        text.split(digits)
+            .filter(|part| !part.is_empty())
+            .collect::<Vec<_>>()
+            .join("-")
+    }
+}
+
+/// Something that happens.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Event {
+    /// When, since the start of the traffic.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// What happens.
+    pub fault: Fault,
+}
+
+/// The events of a run, by time; they overlap and come in series.
+pub fn plan(seed: u64, size: Size, length: Duration) -> Vec<Event> {
+    let mut rng = Pcg64::seed_from_u64(seed);
+    let mut events = Vec::new();
+    let mut at = START;
+    while at < length {
+        let phase = at.saturating_sub(START).as_millis() % (FAULTY + CALM).as_millis();
+        let is_faulty = phase < FAULTY.as_millis();
+        let fault = match is_faulty {
+            true => unplanned(&mut rng, size),
+            false => planned(&mut rng, size),
+        };
+        // A leaving host or server takes seconds; evacuations outlast the bound on them.
+        let lasts = match fault {
+            Fault::Evacuate(_) => 6500..9000,
+            Fault::Stop(_) | Fault::Drain(_) | Fault::Vanish(_) => 4000..6000,
+            _ => 500..3500,
+        };
+        events.push(Event {
+            at,
+            lasts: Duration::from_millis(rng.random_range(lasts)),
+            fault,
+        });
+        let gap = if is_faulty { 100..1300 } else { 800..3000 };
+        at += Duration::from_millis(rng.random_range(gap));
+    }
+    events
+}
+
+fn unplanned(rng: &mut Pcg64, size: Size) -> Fault {
+    let troubles = [
+        Trouble::Delay,
+        Trouble::Reset,
+        Trouble::Silent,
+        Trouble::OneWay,
+    ];
+    let trouble = *troubles.choose(rng).unwrap_or(&Trouble::Reset);
+    let host = rng.random_range(0..size.hosts);
+    let server = rng.random_range(0..size.servers);
+    match rng.random_range(0..18) {
+        0 | 1 => Fault::Kill(host),
+        2 if rng.random_bool(0.3) => Fault::KillAll,
+        2 | 3 => Fault::Pause(host),
+        4 | 5 => Fault::Callers(host, trouble),
+        6 | 7 => Fault::StoreLink(host, trouble),
+        8 | 9 => Fault::ServerLink(server, trouble),
+        10 | 11 => {
+            let all = [
+                StoreTrouble::Busy,
+                StoreTrouble::Silent,
+                StoreTrouble::Slow,
+                StoreTrouble::LosesWrites,
+                StoreTrouble::Compacts,
+            ];
+            Fault::Store(*all.choose(rng).unwrap_or(&StoreTrouble::Busy))
+        }
+        12 => Fault::Crash(server),
+        13 => Fault::Reuse(server),
+        14 => Fault::Slow(server),
+        15 | 16 => {
+            let all = [
+                Spoilt::Cut,
+                Spoilt::Doubled,
+                Spoilt::Lost,
+                Spoilt::Crossed,
+                Spoilt::Failed,
+            ];
+            Fault::Spoil(server, *all.choose(rng).unwrap_or(&Spoilt::Cut))
+        }
+        _ => planned(rng, size),
+    }
+}
+
+fn planned(rng: &mut Pcg64, size: Size) -> Fault {
+    match rng.random_range(0..8) {
+        0 | 1 => Fault::Stop(rng.random_range(0..size.hosts)),
+        2 => Fault::Reload(rng.random_range(0..size.hosts)),
+        3 => Fault::Drain(rng.random_range(0..size.servers)),
+        4 => Fault::Vanish(rng.random_range(0..size.servers)),
+        5 => Fault::Evacuate(rng.random_range(0..size.data_centres)),
+        6 => Fault::Storm,
+        _ => Fault::Config,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/server.rs
@@ -0,0 +1,213 @@
+//! Backend servers of a run, each behind a proxy.
+
+use std::{io, sync, time::Duration};
+
+use tokio::net::TcpListener;
+use yuccatide_platform_standins::{
+    backend::{self, Act},
+    objects,
+};
+
+use crate::{book, plan, proxy};
+
+/// Requests that a backend server runs at a time, and those that may wait.
+const SLOTS: u32 = 6;
+const QUEUE: usize = 12;
+
+/// Work of a request: shorter for some objects than for others.
+const WORK: Duration = Duration::from_millis(20);
+const MORE_WORK: Duration = Duration::from_millis(40);
+
+/// Slowdown of [`plan::Fault::Slow`].
+const SLOWDOWN: u32 = 12;
+
+/// Every how many answers one is spoilt.
+const SPOILT_EVERY: usize = 4;
+
+/// Time for which a started backend server is cold, and the requests a second it tolerates.
+pub const WARMUP: Duration = Duration::from_secs(3);
+/// Requests a second that a cold backend server tolerates.
+pub const COLD_RATE: f64 = 15.0;
+
+/// What is wrong with a backend server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Harm {
+    /// Whether it is slow.
+    pub is_slow: bool,
+    /// What is wrong with its answers.
+    pub spoilt: Option<plan::Spoilt>,
+}
+
+/// A place in which backend servers run one after the other.
+pub struct Place {
+    /// Entry of the present one.
+    pub entry: objects::Entry,
+    /// Name of the present one.
+    pub name: String,
+    /// Link of the hosts to it.
+    pub link: proxy::Proxy,
+    /// What is wrong with it.
+    pub harm: sync::Arc<sync::Mutex<Harm>>,
+    /// Whether its entry is in the store.
+    pub is_registered: bool,
+    running: Option<backend::Backend>,
+    starts: u64,
+    number: usize,
+}
+
+impl Place {
+    /// A place with a running backend server.
+    pub async fn start(
+        number: usize,
+        service: &str,
+        data_centre: &str,
+        book: &book::Book,
+    ) -> io::Result<Place> {
+        let nowhere = TcpListener::bind("127.0.0.1:0").await?.local_addr()?;
+        let link = proxy::Proxy::start(nowhere).await?;
+        let entry = objects::Entry {
+            service: service.to_string(),
+            address: link.address,
+            data_centre: data_centre.to_string(),
+            slots: SLOTS,
+            is_draining: false,
+            warmup_left: Duration::ZERO,
+            incarnation: 0,
+        };
+        let mut place = Place {
+            entry,
+            name: String::new(),
+            link,
+            harm: sync::Arc::default(),
+            is_registered: false,
+            running: None,
+            starts: 0,
+            number,
+        };
+        place.restart(service, Duration::ZERO, book).await?;
+        Ok(place)
+    }
+
+    /// Ends the present backend server and all of its connections.
+    pub fn crash(&mut self) {
+        self.running = None;
+    }
+
+    /// Starts another backend server in the place.
+    pub async fn restart(
+        &mut self,
+        service: &str,
+        warmup: Duration,
+        book: &book::Book,
+    ) -> io::Result<()> {
+        self.starts += 1;
+        self.name = format!("s{}-{}", self.number, self.starts);
+        self.entry.service = service.to_string();
+        self.entry.incarnation = self.starts;
+        self.entry.is_draining = false;
+        self.entry.warmup_left = warmup;
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        self.link.lead_to(listener.local_addr()?);
+        let script = script(self.name.clone(), self.harm.clone(), book.clone());
+        self.running = Some(backend::Backend::start_on(listener, script));
+        if warmup > Duration::ZERO {
+            let from = book.now();
+            let span = book::Span {
+                from,
+                to: from + warmup,
+            };
+            book.with(|seen| seen.cold.push((self.name.clone(), span)));
+        }
+        Ok(())
+    }
+}
+
+/// What a backend server does with each request.
+fn script(
+    name: String,
+    harm: sync::Arc<sync::Mutex<Harm>>,
+    book: book::Book,
+) -> impl Fn(usize, &backend::Seen) -> Act + Send + Sync {
+    let ends: sync::Mutex<Vec<book::At>> = sync::Mutex::default();
+    move |number, seen| {
+        let now = book.now();
+        if seen.header(objects::TARGET).is_some_and(|id| id != name) {
+            return Act::Write(backend::not_run(421));
+        }
+        let arrival = book::Arrival {
+            request: seen.id(),
+            server: name.clone(),
+            at: now,
+        };
+        book.with(|seen| seen.arrivals.push(arrival));
+        let harm = *harm.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        let mut ends = ends.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        ends.retain(|end| *end > now);
+        if ends.len() >= SLOTS as usize + QUEUE {
+            return Act::Write(backend::not_run(503));
+        }
+        let work = work(seen, harm, &mut ends, now);
+        drop(ends);
+        let spoilt = harm.spoilt.filter(|_| number % SPOILT_EVERY == 0);
+        run(&name, seen, spoilt, work, &book)
+    }
+}
+
+/// Time until a request is done: it waits for a slot first.
+fn work(seen: &backend::Seen, harm: Harm, ends: &mut Vec<book::At>, now: book::At) -> Duration {
+    ends.sort_unstable();
+    let busy = ends.len().saturating_sub(SLOTS as usize - 1);
+    let begin = match busy {
+        0 => now,
+        behind => ends[behind - 1],
+    };
+    let alone = if seen.id().len().is_multiple_of(2) {
+        WORK
+    } else {
+        MORE_WORK
+    };
+    let end = begin
+        + if harm.is_slow {
+            alone * SLOWDOWN
+        } else {
+            alone
+        };
+    ends.push(end);
+    end - now
+}
+
+fn run(
+    server: &str,
+    seen: &backend::Seen,
+    spoilt: Option<plan::Spoilt>,
+    work: Duration,
+    book: &book::Book,
+) -> Act {
+    let id = seen.id();
+    let first_line = seen.head.lines().next().unwrap_or_default();
+    let body = format!("{id} {first_line} {}", seen.body.len());
+    let signature = format!("{server}.{id}");
+    let status = match spoilt {
+        Some(plan::Spoilt::Failed) => 500,
+        _ => 200,
+    };
+    let run = book::Run {
+        signature: signature.clone(),
+        status,
+        body: body.clone(),
+    };
+    book.with(|seen| seen.runs.entry(id.clone()).or_default().push(run));
+    let whole = backend::signed(status, &id, &signature, &body);
+    match spoilt {
+        Some(plan::Spoilt::Lost) => Act::ResetAfter(work),
+        Some(plan::Spoilt::Cut) => {
+            let part = whole[..whole.len() - body.len() / 2].to_vec();
+            Act::AfterAndClose(work, part)
+        }
+        Some(plan::Spoilt::Doubled) => Act::After(work, [whole.clone(), whole].concat()),
+        Some(plan::Spoilt::Crossed) => {
+            Act::After(work, backend::signed(200, "another", "none", &body))
+        }
+        Some(plan::Spoilt::Failed) | None => Act::After(work, whole),
+    }
+}
--- /dev/null
+++ b/crates/soak/src/traffic.rs
@@ -0,0 +1,201 @@
+//! Callers of a run, and its questions for versions.
+
+use std::{net, sync, time::Duration};
+
+use rand::{Rng, SeedableRng, seq::IndexedRandom};
+use rand_pcg::Pcg64;
+use tokio_util::sync as tokio_sync;
+use yuccatide_platform_standins::{client, objects};
+
+use crate::book;
+
+/// Time for which a caller waits.
+const PATIENCE: Duration = Duration::from_millis(2500);
+
+/// Time after which a request without any answer has ended; hosts answer by its deadline.
+const NOTHING: Duration = Duration::from_millis(4500);
+
+/// Time after which a look-up or an attempt to connect has failed.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Requests on one connection at most.
+const PER_CONNECTION: u32 = 40;
+
+/// Life of a look-up's answer.
+const LOOKUP_LIFE: Duration = Duration::from_secs(2);
+
+/// Objects of all callers.
+const OBJECTS: u64 = 40;
+
+/// A host as callers reach it.
+#[derive(Clone, Copy, Debug)]
+pub struct Reach {
+    /// Address for requests, as look-ups name it.
+    pub requests: net::SocketAddr,
+    /// The proxy before it.
+    pub through: net::SocketAddr,
+    /// Address for look-ups.
+    pub lookups: net::SocketAddr,
+}
+
+/// One caller.
+pub struct Caller {
+    /// Number, for its ids.
+    pub number: u64,
+    /// Region and data centre next to it.
+    pub place: (String, String),
+    /// Hosts.
+    pub reach: sync::Arc<Vec<Reach>>,
+    /// Where it writes what it sees.
+    pub book: book::Book,
+    /// Seed of its choices.
+    pub seed: u64,
+}
+
+struct Open {
+    client: client::Client,
+    host: usize,
+    opened: book::At,
+    requests: u32,
+}
+
+impl Caller {
+    /// Sends requests, one after the other, until `stop`.
+    pub async fn run(self, stop: tokio_sync::CancellationToken) {
+        let mut rng = Pcg64::seed_from_u64(self.seed ^ self.number);
+        let mut open: Option<Open> = None;
+        let mut hosts: Vec<usize> = Vec::new();
+        let mut asked = None::<book::At>;
+        let mut count = 0;
+        while !stop.is_cancelled() {
+            if asked.is_none_or(|at| self.book.now() > at + LOOKUP_LIFE) {
+                if let Some(told) = self.look_up(&mut rng).await {
+                    hosts = told;
+                }
+                asked = Some(self.book.now());
+            }
+            if open.is_none() {
+                open = self.connect(&hosts, &mut rng).await;
+            }
+            if let Some(connection) = open.take() {
+                count += 1;
+                open = self.request(connection, count, &mut rng).await;
+            }
+            tokio::time::sleep(Duration::from_millis(rng.random_range(20..90))).await;
+        }
+    }
+
+    /// Hosts that a look-up names.
+    async fn look_up(&self, rng: &mut Pcg64) -> Option<Vec<usize>> {
+        let host = self.reach.choose(rng)?;
+        let path = objects::lookup_path(client::NAME, &self.place.0, &self.place.1);
+        let answer = tokio::time::timeout(CONNECT_TIMEOUT, async {
+            let mut client = client::Client::connect(host.lookups).await.ok()?;
+            client.try_send("GET", &path, &[], b"").await.ok()?;
+            client.next().await
+        });
+        let addresses = objects::looked_up(&answer.await.ok()??.body);
+        let known = |address| self.reach.iter().position(|host| host.requests == address);
+        let hosts: Vec<usize> = addresses.into_iter().filter_map(known).collect();
+        (!hosts.is_empty()).then_some(hosts)
+    }
+
+    async fn connect(&self, hosts: &[usize], rng: &mut Pcg64) -> Option<Open> {
+        let host = *hosts.choose(rng)?;
+        let connecting = client::Client::connect(self.reach[host].through);
+        let client = tokio::time::timeout(CONNECT_TIMEOUT, connecting).await;
+        Some(Open {
+            client: client.ok()?.ok()?,
+            host,
+            opened: self.book.now(),
+            requests: 0,
+        })
+    }
+
+    /// Sends one request; returns the connection where it may carry another one.
+    async fn request(&self, mut open: Open, count: u64, rng: &mut Pcg64) -> Option<Open> {
+        let id = format!("c{}-{count}", self.number);
+        let is_idempotent = rng.random_bool(0.6);
+        let leaves = rng.random_bool(0.03);
+        let (method, prefix, body) = match is_idempotent {
+            true => ("GET", "read", ""),
+            false => ("PUT", "book", "some body"),
+        };
+        let object = rng.random_range(0..OBJECTS);
+        let headers = [
+            format!("{}: {id}", objects::REQUEST_ID),
+            format!("{}: {}", objects::DEADLINE, PATIENCE.as_millis()),
+            objects::object_cookie(object),
+        ];
+        let headers: Vec<&str> = headers.iter().map(String::as_str).collect();
+        let path = format!("/{prefix}/{object}");
+        open.requests += 1;
+        let is_sent = open
+            .client
+            .try_send(method, &path, &headers, body.as_bytes());
+        if is_sent.await.is_err() {
+            // The connection had ended before: nothing of the request was read.
+            return None;
+        }
+        let sent = self.book.now();
+        let patience = if leaves {
+            Duration::from_millis(15)
+        } else {
+            NOTHING
+        };
+        let answer = tokio::time::timeout(patience, open.client.next()).await;
+        let says_close = matches!(
+            &answer,
+            Ok(Some(answer)) if answer.header("Connection").is_some_and(|v| v == "close")
+        );
+        let end = match answer {
+            Err(_) if leaves => book::End::Left,
+            Err(_) => book::End::Nothing,
+            Ok(None) => book::End::Closed,
+            Ok(Some(answer)) => book::End::Answer {
+                status: answer.status,
+                signature: answer.header(objects::SIGNATURE).map(str::to_string),
+                body: answer.text(),
+                is_whole: answer.is_whole,
+            },
+        };
+        let is_usable = !says_close && matches!(&end, book::End::Answer { is_whole: true, .. });
+        let request = book::Request {
+            id,
+            is_idempotent,
+            host: open.host,
+            sent,
+            ended: self.book.now(),
+            opened: open.opened,
+            end,
+        };
+        self.book.with(|seen| seen.requests.push(request));
+        (is_usable && open.requests < PER_CONNECTION).then_some(open)
+    }
+}
+
+/// Asks a host whether a version is in force, past the proxies.
+pub async fn probe(host: net::SocketAddr, version: u64) -> Option<bool> {
+    let answer = tokio::time::timeout(PATIENCE, async {
+        let mut client = client::Client::connect(host).await.ok()?;
+        let id = format!("{}: probe-{version}", objects::REQUEST_ID);
+        let path = format!("/probe-{version}/x");
+        client.try_send("GET", &path, &[&id], b"").await.ok()?;
+        client.next().await
+    });
+    match answer.await.ok()??.status {
+        404 => Some(false),
+        503 => None,
+        _ => Some(true),
+    }
+}
+
+/// Whether a host says that it takes requests.
+pub async fn is_ready(host: net::SocketAddr) -> bool {
+    let answer = tokio::time::timeout(CONNECT_TIMEOUT, async {
+        let mut client = client::Client::connect(host).await.ok()?;
+        client.try_send("GET", "/readiness", &[], b"").await.ok()?;
+        client.next().await
+    });
+    matches!(answer.await, Ok(Some(answer)) if answer.status == 200)
+}
