Notice a silent watch by other hosts' news; never wait for a change in a trial

Ruled out: lost datagrams, the store's stand-in (other hosts had the version within 300 ms). Change: hosts tell each other the revision of the newest change of each kind; a watch that has not brought it 0.8 s later is given up and repeated on another connection. A trial always lists. Tests in virtual time, failing before.

--- a/crates/node/src/gateway/follow.rs
+++ b/crates/node/src/gateway/follow.rs
@@ -1,6 +1,6 @@
 //! Following one kind of object in the platform's store: a list, then one waiting watch.
 
-use std::{future, pin, time};
+use std::{collections, future, pin, time};
 
 use thiserror::Error;
 use tokio::sync;
@@ -11,6 +11,10 @@
 /// Longest pause after a failed call: news may wait for it after the store's return.
 const MAX_PAUSE: time::Duration = time::Duration::from_millis(500);
 
+/// Time after another host's word of a change in which a waiting watch has to bring it: the store
+/// answers in a round trip, and in a quarter of a second while it is slow.
+const OVERTAKEN: time::Duration = time::Duration::from_millis(800);
+
 /// Longest pause after an attempt to connect that failed: it costs the store nothing.
 const MAX_CONNECT_PAUSE: time::Duration = time::Duration::from_millis(200);
 
@@ -59,6 +63,8 @@
     pub changes: Vec<Change<T>>,
     /// Revision to watch from next.
     pub revision: u64,
+    /// Revision of the newest change; 0 where there is none.
+    pub newest: u64,
 }
 
 /// A future of a call to the store.
@@ -102,11 +108,15 @@
     Answers(bool),
 }
 
-/// Whether a store answers, for all that follow it: while it does not, one of them tries again and
-/// the others wait for its success.
+/// Revision of the newest change of each kind that any host has seen.
+pub type Newest = collections::BTreeMap<String, u64>;
+
+/// What all that follow a store know together: whether it answers (while it does not, one of them
+/// tries again and the others wait for its success) and what other hosts have seen of it.
 #[derive(Debug)]
 pub struct Access {
     answers: sync::watch::Sender<bool>,
+    newest: sync::watch::Sender<Newest>,
     /// Pause before the next trial.
     trial: sync::Mutex<time::Duration>,
 }
@@ -118,6 +128,7 @@
     fn default() -> Access {
         Access {
             answers: sync::watch::Sender::new(true),
+            newest: sync::watch::Sender::new(Newest::new()),
             trial: sync::Mutex::new(PAUSE),
         }
     }
@@ -139,6 +150,31 @@
         }
     }
 
+    /// Revision of the newest change of each kind that this host knows of.
+    pub fn newest(&self) -> Newest {
+        self.newest.borrow().clone()
+    }
+
+    /// Takes the revision of a change that a host has seen.
+    pub fn learn(&self, kind: &str, revision: u64) {
+        self.newest.send_if_modified(|newest| {
+            let is_newer = newest.get(kind).is_none_or(|known| *known < revision);
+            if is_newer {
+                newest.insert(kind.to_string(), revision);
+            }
+            is_newer
+        });
+    }
+
+    /// Waits until a watch from a revision should have brought what another host has seen: its
+    /// connection is silent.
+    async fn overtaken(&self, kind: &str, since: u64) {
+        let is_newer = |newest: &Newest| newest.get(kind).is_some_and(|seen| *seen > since);
+        if self.newest.subscribe().wait_for(is_newer).await.is_ok() {
+            tokio::time::sleep(OVERTAKEN).await;
+        }
+    }
+
     /// Takes that the store answered.
     fn answered(&self, turn: Turn<'_>) {
         if let Some(mut pause) = turn {
@@ -173,6 +209,10 @@
     let mut was_cut_off = false;
     loop {
         let turn = access.turn().await;
+        if turn.is_some() {
+            // A list tells at once that the store is back; a watch would wait for a change.
+            revision = None;
+        }
         let mut is_gathering = false;
         let result = match revision {
             None => (source.list)(freshness).await.map(|listing| {
@@ -180,15 +220,18 @@
                 report(News::Answers(true));
                 report(News::All(listing.objects));
             }),
-            Some(since) => (source.watch)(since).await.map(|events| {
-                revision = Some(events.revision.max(since));
-                is_gathering = !events.changes.is_empty();
-                report(News::Answers(true));
-                events
-                    .changes
-                    .into_iter()
-                    .for_each(|change| report(News::Change(change)));
-            }),
+            Some(since) => watch(kind, access, (source.watch)(since), since)
+                .await
+                .map(|events| {
+                    access.learn(kind, events.newest);
+                    revision = Some(events.revision.max(since));
+                    is_gathering = !events.changes.is_empty();
+                    report(News::Answers(true));
+                    events
+                        .changes
+                        .into_iter()
+                        .for_each(|change| report(News::Change(change)));
+                }),
         };
         freshness = Freshness::Current;
         match result {
@@ -208,7 +251,6 @@
             }
             Err(e) => {
                 log::warn!(kind, error:% = e; "a call to the store failed");
-                // A list tells at once that the store is back; a watch would wait for a change.
                 revision = None;
                 if e == SourceError::HistoryGone {
                     access.answered(turn);
@@ -224,3 +266,19 @@
         }
     }
 }
+
+/// Waits for changes, for no longer than other hosts have seen none.
+async fn watch<T>(
+    kind: &str,
+    access: &Access,
+    changes: Call<Events<T>>,
+    since: u64,
+) -> Result<Events<T>, SourceError> {
+    tokio::select! {
+        events = changes => events,
+        () = access.overtaken(kind, since) => {
+            log::info!(kind, since; "a watch is silent while other hosts see changes");
+            Err(SourceError::CutOff("it is silent".to_string()))
+        }
+    }
+}
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -5,7 +5,7 @@
 use tokio::sync::oneshot;
 use yuccatide_steering::{gateway as decisions, matching, model};
 
-use super::{arrivals, connections, dialect, lines, metrics, update};
+use super::{arrivals, connections, dialect, follow, lines, metrics, update};
 use crate::clock;
 
 /// Time between decisions on requests that wait without an event.
@@ -33,6 +33,8 @@
     pub(super) clock: clock::Clock,
     pub(super) connections: connections::Connections,
     lines: lines::Lines,
+    /// Access to the platform's store.
+    pub access: follow::Access,
     /// Counters, histograms and gauges.
     pub metrics: metrics::Metrics,
     own: model::DataCentreId,
@@ -74,6 +76,7 @@
             clock: clock::Clock::new(),
             connections: connections::Connections::default(),
             lines: lines::Lines::default(),
+            access: follow::Access::default(),
             metrics: metrics::Metrics::new(),
             own,
             settings,
@@ -210,6 +213,7 @@
             } else {
                 Vec::new()
             },
+            newest: self.access.newest(),
         };
         let mut messages = state.members.beats(&beat);
         if sums_up {
@@ -225,10 +229,15 @@
     ) -> Vec<(net::SocketAddr, decisions::Message)> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let (blocks, shares) = match &message {
-            decisions::Message::Beat(beat) => (&beat.blocks, &beat.shares),
-            decisions::Message::Summary { summary, .. } => (&summary.blocks, &summary.shares),
+        let (blocks, shares, newest) = match &message {
+            decisions::Message::Beat(beat) => (&beat.blocks, &beat.shares, &beat.newest),
+            decisions::Message::Summary { summary, .. } => {
+                (&summary.blocks, &summary.shares, &summary.newest)
+            }
         };
+        for (kind, revision) in newest {
+            self.access.learn(kind, *revision);
+        }
         state.directory.adopt(shares, &self.settings.regions, now);
         for (block, data_centre) in blocks {
             state.arrivals.learn(*block, data_centre);
--- a/crates/node/tests/gateway_follow.rs
+++ b/crates/node/tests/gateway_follow.rs
@@ -37,6 +37,10 @@
         }
     }
 
+    fn shared(self) -> sync::Arc<Store> {
+        sync::Arc::new(self)
+    }
+
     fn source(self: &sync::Arc<Store>, event_gap: Duration) -> Source<u64> {
         let (lister, watcher) = (self.clone(), self.clone());
         Source {
@@ -60,6 +64,7 @@
                     Ok(Events {
                         changes: vec![Change::Set(since)],
                         revision: since + 1,
+                        newest: since + 1,
                     })
                 })
             }),
@@ -171,3 +176,80 @@
     follow_three(&store, Duration::from_secs(1), Duration::from_secs(3)).await;
     assert_eq!(*store.lists.lock().unwrap(), [Freshness::MayBeStale; 3]);
 }
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_watch_is_given_up_once_other_hosts_have_seen_a_change() {
+    let store = sync::Arc::new(Store::default());
+    let access = Access::default();
+    let silence = Duration::from_secs(3600);
+    let told = async {
+        time::sleep(Duration::from_secs(5)).await;
+        store.take_calls();
+        access.learn("other", 7);
+        time::sleep(Duration::from_secs(5)).await;
+        assert_eq!(store.take_calls(), 0);
+        access.learn("a", 7);
+        time::sleep(Duration::from_secs(2)).await;
+        store.take_calls()
+    };
+    let followed = follow("a", PACE, &access, store.source(silence), |_| {});
+    let calls = tokio::select! {
+        calls = told => calls,
+        () = followed => unreachable!("it follows for ever"),
+    };
+    // The watch is repeated, and then the list is read.
+    assert!((1..=3).contains(&calls), "{calls}");
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_trial_does_not_wait_for_a_change() {
+    let access = Access::default();
+    let start = time::Instant::now();
+    // One change after a second, and then none any more: the watch is between two calls when the
+    // other kind finds the store away.
+    let quiet = Source {
+        list: Store::default().shared().source(Duration::ZERO).list,
+        watch: Box::new(move |since| {
+            Box::pin(async move {
+                if since > 1 {
+                    std::future::pending::<()>().await;
+                }
+                time::sleep(Duration::from_secs(1)).await;
+                Ok(Events {
+                    changes: vec![Change::Set(since)],
+                    revision: since + 1,
+                    newest: since + 1,
+                })
+            })
+        }),
+    };
+    let failing = Source {
+        list: Box::new(move |_| {
+            Box::pin(async move {
+                match start.elapsed() < Duration::from_secs(3) {
+                    true => Err(SourceError::Unavailable("status 503".to_string())),
+                    false => Ok(Listing {
+                        objects: vec![0],
+                        revision: 1,
+                    }),
+                }
+            })
+        }),
+        watch: Box::new(|_| Box::pin(std::future::pending())),
+    };
+    let is_back = sync::Arc::new(atomic::AtomicBool::new(false));
+    let told = is_back.clone();
+    let both = async {
+        tokio::join!(follow("a", PACE, &access, quiet, |_| {}), async {
+            time::sleep(Duration::from_millis(1500)).await;
+            let note = |news| {
+                if matches!(news, News::Answers(true)) {
+                    told.store(true, atomic::Ordering::Relaxed);
+                }
+            };
+            follow("b", PACE, &access, failing, note).await;
+        },)
+    };
+    assert!(time::timeout(Duration::from_secs(6), both).await.is_err());
+    assert!(is_back.load(atomic::Ordering::Relaxed));
+}
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -54,6 +54,8 @@
     pub blocks: Vec<(net::IpAddr, model::DataCentreId)>,
     /// Shares that its look-ups use; none until it has seen traffic.
     pub shares: Vec<NameShares>,
+    /// Revision of the newest change of each kind of object that it knows of.
+    pub newest: collections::BTreeMap<String, u64>,
 }
 
 /// Demand for one service from the callers of one data centre, of routes that the same regions may
@@ -94,6 +96,8 @@
     pub blocks: Vec<(net::IpAddr, model::DataCentreId)>,
     /// Shares that its look-ups use; none until it has seen traffic.
     pub shares: Vec<NameShares>,
+    /// Revision of the newest change of each kind of object that it knows of.
+    pub newest: collections::BTreeMap<String, u64>,
 }
 
 /// A message between hosts.
@@ -259,6 +263,7 @@
             loads: sum_loads(all.flat_map(|beat| &beat.loads)),
             blocks: beat.blocks.clone(),
             shares: beat.shares.clone(),
+            newest: beat.newest.clone(),
         }
     }
 
--- a/crates/steering/tests/gateway/members.rs
+++ b/crates/steering/tests/gateway/members.rs
@@ -62,6 +62,7 @@
                     loads: Vec::new(),
                     blocks: Vec::new(),
                     shares: Vec::new(),
+                    newest: Default::default(),
                 };
                 messages.extend(host.beats(&beat));
                 if now_ms % 480 == 0 {
@@ -130,6 +131,7 @@
         loads: Vec::new(),
         blocks: Vec::new(),
         shares: Vec::new(),
+        newest: Default::default(),
     };
     members.receive(gateway::Message::Beat(beat), ms(0));
     assert_eq!(members.ready("a1", true, ms(1)).len(), 2);
