Write the last log lines before the process ends; let a stop in the soak end once

Change: the end of the process waits up to 200 ms for the lines; a stop ends the process that it was sent to.

--- a/crates/node/src/telemetry/logs.rs
+++ b/crates/node/src/telemetry/logs.rs
@@ -1,7 +1,12 @@
 //! Logs as JSON lines.
 
+use std::{sync::mpsc, thread, time};
+
 use logforth::{append, layout, record, starter_log};
 
+/// Time for which the end of a process waits for lines to be written.
+const FLUSH_TIMEOUT: time::Duration = time::Duration::from_millis(200);
+
 /// Lines that may wait to be written to standard output; more are dropped.
 const BUFFERED_LINES: usize = 4096;
 
@@ -32,6 +37,20 @@
     }
 }
 
+/// Writes the lines that wait, before the process ends; a reader that does not read delays it by a
+/// bounded time only.
+pub fn flush() {
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        log::logger().flush();
+        // The receiver may have given up.
+        let _ = tx.send(());
+    });
+    if rx.recv_timeout(FLUSH_TIMEOUT).is_err() {
+        eprintln!("log lines were left out at the end: standard output is not read");
+    }
+}
+
 fn level_of(level: &str) -> record::Level {
     match level {
         "error" => record::Level::Error,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -52,6 +52,8 @@
     /// The event.
     pub event: plan::Event,
     from: book::At,
+    /// Starts of each host's process when it began.
+    lifetimes: Vec<u32>,
 }
 
 impl World {
@@ -135,6 +137,7 @@
     /// Begins an event; nothing where its target is in the middle of another one.
     pub async fn begin(&mut self, event: plan::Event) -> anyhow::Result<Option<Active>> {
         let from = self.book.now();
+        let lifetimes = self.hosts.iter().map(|host| host.lifetime).collect();
         let has_begun = match event.fault {
             Fault::Kill(host) => self.kill(host).await?,
             Fault::KillAll => {
@@ -170,7 +173,11 @@
             }
             Fault::Evacuate(data_centre) => self.evacuate(data_centre),
         };
-        Ok(has_begun.then_some(Active { event, from }))
+        Ok(has_begun.then_some(Active {
+            event,
+            from,
+            lifetimes,
+        }))
     }
 
     /// Ends an event and records when it was.
@@ -182,6 +189,8 @@
                     self.restart(host)?;
                 }
             }
+            // Another event may have ended the process before, or stopped it too.
+            Fault::Stop(host) if self.hosts[host].lifetime != active.lifetimes[host] => {}
             Fault::Stop(host) => {
                 // It may stand still by another event.
                 self.hosts[host].signal(Signal::SIGCONT)?;
