Share a cold server's rate with the hosts of other data centres

Change: the hosts of the server's data centre share 0.8 of its rate, all hosts 0.4 of it for other data centres.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -349,6 +349,7 @@
             return;
         }
         let senders = state.members.senders(now);
+        state.pool.set_hosts(state.members.known());
         for (ticket, decision) in state.pool.decide(senders, now) {
             if let Some(tx) = state.replies.remove(&ticket)
                 && tx.send(decision).is_err()
--- a/crates/steering/src/gateway/pool.rs
+++ b/crates/steering/src/gateway/pool.rs
@@ -28,6 +28,12 @@
 /// Shortest time after which a refused client should come back.
 const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
 
+/// Part of a cold backend server's rate that the hosts of its data centre share, and the part that
+/// all hosts share where they send into another data centre: together they stay below the
+/// platform's bound of one and a half times the rate, also while a host does not hear its neighbour.
+const NEAR_COLD_SHARE: f64 = 0.8;
+const FAR_COLD_SHARE: f64 = 0.4;
+
 /// What is done with a request that waits.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -80,6 +86,8 @@
     fairness: collections::BTreeMap<model::ServiceId, fairness::Fairness>,
     services: collections::BTreeMap<model::ServiceId, policy::Service>,
     limits: RetryLimits,
+    /// Hosts of all data centres.
+    hosts: usize,
     next: Ticket,
 }
 
@@ -101,6 +109,7 @@
             fairness: collections::BTreeMap::new(),
             services: collections::BTreeMap::new(),
             limits,
+            hosts: 1,
             next: 0,
         }
     }
@@ -113,6 +122,12 @@
         }
     }
 
+    /// Takes the number of hosts in all data centres: they share the bounds of the backend servers
+    /// of other data centres.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts;
+    }
+
     /// Takes a new configuration's services.
     pub fn set_services(
         &mut self,
@@ -256,7 +271,6 @@
             return Vec::new();
         };
         queue.sort_by_key(|waiting| self.order(waiting, now));
-        let interval = self.cold_interval(service, hosts);
         let mut ahead = collections::HashMap::new();
         let mut decisions = Vec::new();
         let mut left: Vec<Waiting> = Vec::new();
@@ -289,8 +303,7 @@
                     ));
                 }
                 Verdict::Send(choice) => {
-                    if let Some(entry) =
-                        self.start(waiting.ticket, waiting.req, choice, interval, now)
+                    if let Some(entry) = self.start(waiting.ticket, waiting.req, choice, hosts, now)
                     {
                         decisions.push((waiting.ticket, Decision::Send(choice.server, entry)));
                     }
@@ -327,12 +340,14 @@
     }
 
     /// Time between two requests of this host to a cold backend server, so that all hosts together
-    /// keep its bound.
-    fn cold_interval(&self, service: &str, hosts: usize) -> time::Duration {
-        let rate = self
-            .services
-            .get(service)
-            .map_or(0.0, |service| service.warmup_rate);
+    /// keep its bound; `hosts` are those of the own data centre.
+    fn cold_interval(&self, entry: &server::Entry, hosts: usize) -> time::Duration {
+        let (share, hosts) = match entry.data_centre == self.data_centre {
+            true => (NEAR_COLD_SHARE, hosts),
+            false => (FAR_COLD_SHARE, self.hosts),
+        };
+        let service = self.services.get(&entry.service);
+        let rate = share * service.map_or(0.0, |service| service.warmup_rate);
         match rate > 0.0 {
             true => time::Duration::from_secs_f64(hosts.max(1) as f64 / rate),
             false => time::Duration::ZERO,
@@ -344,9 +359,10 @@
         ticket: Ticket,
         req: request::Request,
         choice: placement::Choice,
-        interval: time::Duration,
+        hosts: usize,
         now: model::Time,
     ) -> Option<server::Entry> {
+        let interval = self.cold_interval(&self.fleet.get(choice.server)?.entry, hosts);
         let server = self.fleet.get_mut(choice.server)?;
         let was_warm = req.object.is_some_and(|object| server.is_warm_for(object));
         if req.tried.is_empty()
--- a/crates/steering/tests/gateway/pool.rs
+++ b/crates/steering/tests/gateway/pool.rs
@@ -251,3 +251,43 @@
         prop_assert_eq!(pool.waiting(), open.len());
     }
 }
+
+#[test]
+fn a_cold_server_is_spared_by_the_hosts_of_all_data_centres() {
+    let limits = gateway::RetryLimits {
+        ratio: 0.2,
+        slack: 10.0,
+        window: ms(10_000),
+    };
+    let places = ["a1", "a1", "a2", "a2", "b1", "b1"];
+    let mut pools: Vec<gateway::Pool> = places
+        .iter()
+        .map(|place| {
+            let mut pool = gateway::Pool::new(place, fixtures::regions(), limits);
+            pool.set_services(&[("log".to_string(), fixtures::service())].into());
+            pool.set_hosts(places.len());
+            let mut entry = fixtures::entry("s", "a1", 9);
+            entry.warmup_left = ms(3000);
+            pool.fleet.upsert(entry, ms(0));
+            pool
+        })
+        .collect();
+    let mut sent_at = Vec::new();
+    for at in (0..3000).step_by(20) {
+        for pool in &mut pools {
+            pool.submit(fixtures::request(fixtures::route("r"), at, ms(at)));
+            for (ticket, _) in sent(&pool.decide(2, ms(at))) {
+                sent_at.push(at);
+                pool.finish(ticket, Outcome::Answered, ms(at));
+            }
+        }
+    }
+    let in_second = |end: u64| {
+        let times = sent_at.iter();
+        times.filter(|at| **at <= end && **at + 1000 > end).count()
+    };
+    let most = sent_at.iter().map(|end| in_second(*end)).max().unwrap();
+    // Half more than the rate of ten a second, and five.
+    assert!(most <= 20, "{most}");
+    assert!(sent_at.len() >= 15, "{}", sent_at.len());
+}
