Refuse requests that turned late while others wait late before them

Ruled out: no limit on new late requests (four of a service may wait). Change: of the requests that turned late while they waited ten of a service stay, by rank; the others are refused at once.

--- a/crates/steering/src/gateway/pool.rs
+++ b/crates/steering/src/gateway/pool.rs
@@ -22,6 +22,9 @@
 /// Requests of a service that may wait although they miss their objective.
 const LATE_WAITING: u32 = 4;
 
+/// The same for requests that turned late while they waited.
+const LATE_KEPT: u32 = 10;
+
 /// The same for a request that was refused before: a second refusal is worse than a late answer.
 const RETURNED_SHARE: f64 = 0.9;
 
@@ -286,10 +289,15 @@
             let choice = placement::choose(&cx, &waiting.req, now);
             let is_new = waiting.service.is_none();
             waiting.service = choice.map(|choice| choice.service);
-            let is_starved = self.is_starved(&waiting.req);
-            match verdict(&waiting.req, choice, is_new, is_starved, late, now) {
+            let standing = Standing {
+                is_new,
+                is_starved: self.is_starved(&waiting.req),
+                is_late: self.order(&waiting, now).is_late,
+                late_ahead: late,
+            };
+            match verdict(&waiting.req, choice, standing, now) {
                 Verdict::Wait(server) => {
-                    late += u32::from(self.order(&waiting, now).is_late);
+                    late += u32::from(standing.is_late);
                     *ahead.entry(server).or_insert(0) += 1;
                     left.push(waiting);
                 }
@@ -398,6 +406,19 @@
     arrived: model::Time,
 }
 
+/// How a request stands among those that wait for its service.
+#[derive(Clone, Copy, Debug)]
+struct Standing {
+    /// Whether nothing was decided on it before.
+    is_new: bool,
+    /// Whether its route is starved.
+    is_starved: bool,
+    /// Whether it misses its objective even if it gets a slot now.
+    is_late: bool,
+    /// Late requests that go before it.
+    late_ahead: u32,
+}
+
 enum Verdict {
     Send(placement::Choice),
     Wait(fleet::ServerIndex),
@@ -407,11 +428,15 @@
 fn verdict(
     req: &request::Request,
     choice: Option<placement::Choice>,
-    is_new: bool,
-    is_starved: bool,
-    late: u32,
+    standing: Standing,
     now: model::Time,
 ) -> Verdict {
+    let Standing {
+        is_new,
+        is_starved,
+        is_late,
+        late_ahead,
+    } = standing;
     let Some(choice) = choice else {
         return Verdict::Refuse(outcome::Reason::NoServer, MIN_RETRY_AFTER);
     };
@@ -432,15 +457,17 @@
     };
     let done = now + wait + work;
     let has = req.deadline.saturating_sub(req.arrived);
-    // Once it waits, a request is refused only where it can no longer be served.
+    // A request that was refused before is served late rather than refused again.
     let latest = match (is_new && !is_starved, req.has_returned) {
         (true, false) => req.objective().max(req.arrived + has.mul_f64(LATE_SHARE)),
         (true, true) => req.arrived + has.mul_f64(RETURNED_SHARE),
         (false, _) => req.deadline,
     };
-    // Requests that miss their objective get the slots that others leave: few of them may wait.
-    let is_late = done > req.objective();
-    let has_place = !is_new || is_starved || req.has_returned || !is_late || late < LATE_WAITING;
+    // Requests that miss their objective get the slots that others leave: few of them may wait, and
+    // one that would be among the last is told so while it has time to come back.
+    let misses = is_late || (is_new && done > req.objective());
+    let most = if is_new { LATE_WAITING } else { LATE_KEPT };
+    let has_place = !misses || is_starved || req.has_returned || late_ahead < most;
     match done <= latest && has_place {
         true => Verdict::Wait(choice.server),
         false => Verdict::Refuse(outcome::Reason::Overload, wait.max(MIN_RETRY_AFTER)),
