--- /dev/null
+++ b/crates/soak/src/cases.rs
@@ -0,0 +1,19 @@
+//! Seeds that failed once, each with its cause.  All are played with the default sizes.
+
+/// Seed and the cause of its failure.
+pub const CASES: [(u64, &str); 5] = [
+    (106, "a watch on a silenced connection waited for 20 s"),
+    (113, "a watch on a silenced connection waited for 20 s"),
+    (
+        114,
+        "the soak waited for the end of a host that nobody had stopped",
+    ),
+    (
+        118,
+        "a trial of the store waited for a change and kept the others from trying",
+    ),
+    (
+        126,
+        "hosts of other data centres did not share a cold server's rate",
+    ),
+];
--- a/crates/soak/src/flags.rs
+++ b/crates/soak/src/flags.rs
@@ -9,11 +9,14 @@
     /// EXAMPLES:
     ///   yuccatide-soak --seeds 50
     ///   yuccatide-soak --first 1234 --keep
+    ///   yuccatide-soak --cases --jobs 5
     cmd yuccatide-soak {
         /// First seed; a fresh one if left out.
         optional --first seed: u64
         /// Number of seeds (1).
         optional --seeds number: u32
+        /// Plays the seeds that failed once, in place of others.
+        optional --cases
         /// Seconds with events in each run (40).
         optional --seconds seconds: u64
         /// Entry hosts (6).
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,6 +1,7 @@
 //! A randomized soak: the real daemon as separate processes, with faults injected from outside.
 
 pub mod book;
+pub mod cases;
 pub mod flags;
 pub mod host;
 pub mod judge;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -3,8 +3,8 @@
 use std::{fs, path, process, sync, time::Duration};
 
 use anyhow::Context;
-use tokio::task;
-use yuccatide_soak::{flags, judge, plan, run};
+use tokio::{signal::unix, task};
+use yuccatide_soak::{cases, flags, judge, plan, run};
 
 /// Runs beside each other must differ in their processes' addresses, which follow from the process
 /// id of the soak: each run has as many hosts to itself.
@@ -16,7 +16,7 @@
         .enable_all()
         .build()
         .context("no runtime")
-        .and_then(|runtime| runtime.block_on(play(flags)));
+        .and_then(|runtime| runtime.block_on(play_or_stop(flags)));
     match played {
         Ok(true) => process::ExitCode::SUCCESS,
         Ok(false) => process::ExitCode::FAILURE,
@@ -27,19 +27,25 @@
     }
 }
 
+/// Plays all seeds unless the soak is interrupted: its processes end with it then too.
+async fn play_or_stop(flags: flags::YuccatideSoak) -> anyhow::Result<bool> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    tokio::select! {
+        played = play(flags) => played,
+        _ = tokio::signal::ctrl_c() => anyhow::bail!("interrupted"),
+        _ = terminate.recv() => anyhow::bail!("interrupted"),
+    }
+}
+
 /// Plays all seeds; tells whether all promises were kept.
 async fn play(flags: flags::YuccatideSoak) -> anyhow::Result<bool> {
-    let first = flags
-        .first
-        .unwrap_or_else(|| u64::from(rand::random::<u32>()));
-    let seeds = u64::from(flags.seeds.unwrap_or(1));
     let dir = flags.dir.clone().unwrap_or_else(|| "target/soak".into());
     let hosts = flags.hosts.unwrap_or(6);
     let jobs = flags.jobs.unwrap_or(1).clamp(1, MOST_HOSTS / hosts.max(1));
     let slots = sync::Arc::new(tokio::sync::Mutex::new((0..jobs).collect::<Vec<usize>>()));
     let permits = sync::Arc::new(tokio::sync::Semaphore::new(jobs));
     let mut runs = task::JoinSet::new();
-    for seed in first..first + seeds {
+    for seed in seeds(&flags) {
         let options = run::Options {
             seed,
             length: Duration::from_secs(flags.seconds.unwrap_or(40)),
@@ -76,6 +82,17 @@
     Ok(is_kept)
 }
 
+fn seeds(flags: &flags::YuccatideSoak) -> Vec<u64> {
+    if flags.cases {
+        return cases::CASES.iter().map(|(seed, _)| *seed).collect();
+    }
+    let first = flags
+        .first
+        .unwrap_or_else(|| u64::from(rand::random::<u32>()));
+    let number = u64::from(flags.seeds.unwrap_or(1));
+    (first..first + number).collect()
+}
+
 /// Plays one seed and prints its verdict.
 async fn one(options: &run::Options, keep: bool) -> anyhow::Result<judge::Verdict> {
     fs::create_dir_all(&options.dir)?;
