Give admission its own file; test that few late requests go on to wait

The order of requests, the verdict on one and their constants move out of the pool; nothing changes in what is decided.

--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -1,6 +1,7 @@
 //! Decisions of the HTTP gateway: routes, placement on backend servers, waiting, refusals, retries
 //! and the look-ups that spread clients over data centres.
 
+mod admission;
 mod budget;
 mod directory;
 mod estimate;
--- a/crates/steering/src/gateway/pool.rs
+++ b/crates/steering/src/gateway/pool.rs
@@ -2,35 +2,14 @@
 
 use std::{collections, time};
 
-use super::{budget, estimate, fairness, fleet, outcome, placement, policy, request, server};
+use super::{
+    admission, budget, estimate, fairness, fleet, outcome, placement, policy, request, server,
+};
 use crate::model;
 
 /// Number of a request within the process.
 pub type Ticket = u64;
 
-/// Part of the time that a request has within which it must be expected to be served if it misses
-/// its objective; a longer wait would be held against the client without an offer.
-const LATE_SHARE: f64 = 0.6;
-
-/// Part of the expected service time below which a request is not worth sending: the backend
-/// server would give it up half done.
-const HOPELESS: f64 = 0.7;
-
-/// Part of a route's timeout with which a request is tried, whatever is expected.
-const TRIED_SHARE: f64 = 0.3;
-
-/// Requests of a service that may wait although they miss their objective.
-const LATE_WAITING: u32 = 4;
-
-/// The same for requests that turned late while they waited.
-const LATE_KEPT: u32 = 10;
-
-/// The same for a request that was refused before: a second refusal is worse than a late answer.
-const RETURNED_SHARE: f64 = 0.9;
-
-/// Shortest time after which a refused client should come back.
-const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
-
 /// Part of a cold backend server's rate that the hosts of its data centre share, and the part that
 /// all hosts share where they send into another data centre: together they stay below the
 /// platform's bound of one and a half times the rate, also while a host does not hear its neighbour.
@@ -289,19 +268,19 @@
             let choice = placement::choose(&cx, &waiting.req, now);
             let is_new = waiting.service.is_none();
             waiting.service = choice.map(|choice| choice.service);
-            let standing = Standing {
+            let standing = admission::Standing {
                 is_new,
                 is_starved: self.is_starved(&waiting.req),
                 is_late: self.order(&waiting, now).is_late,
                 late_ahead: late,
             };
-            match verdict(&waiting.req, choice, standing, now) {
-                Verdict::Wait(server) => {
+            match admission::verdict(&waiting.req, choice, standing, now) {
+                admission::Verdict::Wait(server) => {
                     late += u32::from(standing.is_late);
                     *ahead.entry(server).or_insert(0) += 1;
                     left.push(waiting);
                 }
-                Verdict::Refuse(reason, retry_after) => {
+                admission::Verdict::Refuse(reason, retry_after) => {
                     decisions.push((
                         waiting.ticket,
                         Decision::Refuse {
@@ -310,7 +289,7 @@
                         },
                     ));
                 }
-                Verdict::Send(choice) => {
+                admission::Verdict::Send(choice) => {
                     if let Some(entry) = self.start(waiting.ticket, waiting.req, choice, hosts, now)
                     {
                         decisions.push((waiting.ticket, Decision::Send(choice.server, entry)));
@@ -326,13 +305,13 @@
 
     /// Order in which requests get slots: those of starved routes, then those that can still meet
     /// their objective, by rank; of equal ones those that were refused before.
-    fn order(&self, waiting: &Waiting, now: model::Time) -> Order {
+    fn order(&self, waiting: &Waiting, now: model::Time) -> admission::Order {
         let req = &waiting.req;
         let service = waiting
             .service
             .unwrap_or_else(|| self.times.expect(&req.route, true));
         let done = now + time::Duration::from_secs_f64(service);
-        Order {
+        admission::Order {
             is_served: !self.is_starved(req),
             is_late: done > req.objective(),
             rank: req.route.rank,
@@ -393,87 +372,6 @@
     }
 }
 
-/// Order in which requests get slots; the smallest one first.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Order {
-    /// Whether its route gets its part of the service.
-    is_served: bool,
-    /// Whether it can no longer meet its objective.
-    is_late: bool,
-    rank: u32,
-    /// Whether it comes for the first time.
-    is_first: bool,
-    arrived: model::Time,
-}
-
-/// How a request stands among those that wait for its service.
-#[derive(Clone, Copy, Debug)]
-struct Standing {
-    /// Whether nothing was decided on it before.
-    is_new: bool,
-    /// Whether its route is starved.
-    is_starved: bool,
-    /// Whether it misses its objective even if it gets a slot now.
-    is_late: bool,
-    /// Late requests that go before it.
-    late_ahead: u32,
-}
-
-enum Verdict {
-    Send(placement::Choice),
-    Wait(fleet::ServerIndex),
-    Refuse(outcome::Reason, time::Duration),
-}
-
-fn verdict(
-    req: &request::Request,
-    choice: Option<placement::Choice>,
-    standing: Standing,
-    now: model::Time,
-) -> Verdict {
-    let Standing {
-        is_new,
-        is_starved,
-        is_late,
-        late_ahead,
-    } = standing;
-    let Some(choice) = choice else {
-        return Verdict::Refuse(outcome::Reason::NoServer, MIN_RETRY_AFTER);
-    };
-    let shortest = time::Duration::from_secs_f64(HOPELESS * choice.warm);
-    // A route's new requests are always tried: estimates may be wrong, and only answers mend them.
-    let shortest = shortest.min(req.route.timeout.mul_f64(TRIED_SHARE));
-    if now + shortest > req.deadline {
-        return Verdict::Refuse(outcome::Reason::Deadline, MIN_RETRY_AFTER);
-    }
-    if choice.wait <= 0.0 {
-        return Verdict::Send(choice);
-    }
-    let wait = time::Duration::from_secs_f64(choice.wait);
-    // Little is known of the work of a route of which little is served.
-    let work = match is_starved {
-        true => shortest,
-        false => time::Duration::from_secs_f64(choice.service),
-    };
-    let done = now + wait + work;
-    let has = req.deadline.saturating_sub(req.arrived);
-    // A request that was refused before is served late rather than refused again.
-    let latest = match (is_new && !is_starved, req.has_returned) {
-        (true, false) => req.objective().max(req.arrived + has.mul_f64(LATE_SHARE)),
-        (true, true) => req.arrived + has.mul_f64(RETURNED_SHARE),
-        (false, _) => req.deadline,
-    };
-    // Requests that miss their objective get the slots that others leave: few of them may wait, and
-    // one that would be among the last is told so while it has time to come back.
-    let misses = is_late || (is_new && done > req.objective());
-    let most = if is_new { LATE_WAITING } else { LATE_KEPT };
-    let has_place = !misses || is_starved || req.has_returned || late_ahead < most;
-    match done <= latest && has_place {
-        true => Verdict::Wait(choice.server),
-        false => Verdict::Refuse(outcome::Reason::Overload, wait.max(MIN_RETRY_AFTER)),
-    }
-}
-
 /// Learns service times, the backend server's speed and what its cache holds from an answer.
 fn learn(
     times: &mut estimate::ServiceTimes,
--- a/crates/steering/tests/gateway/pool.rs
+++ b/crates/steering/tests/gateway/pool.rs
@@ -291,3 +291,25 @@
     assert!(most <= 20, "{most}");
     assert!(sent_at.len() >= 15, "{}", sent_at.len());
 }
+
+#[test]
+fn few_of_the_requests_that_turned_late_go_on_to_wait() {
+    let mut pool = with_servers(1, 9);
+    let mut route = fixtures::route("r");
+    route.timeout = ms(60_000);
+    // Answers within 20 ms, with objects in the cache and without.
+    for i in 0..60 {
+        let now = ms(i * 30);
+        let ticket = pool.submit(fixtures::request(route.clone(), i / 2, now));
+        pool.decide(1, now);
+        pool.finish(ticket, Outcome::Answered, now + ms(20));
+    }
+    for object in 0..40 {
+        pool.submit(fixtures::request(route.clone(), object, ms(2000)));
+    }
+    pool.decide(1, ms(2000));
+    assert_eq!(pool.waiting(), 31);
+    // Nothing is answered for longer than the objective.
+    let refused = pool.decide(1, ms(2500)).len();
+    assert_eq!((pool.waiting(), refused), (10, 21));
+}
