--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -5,7 +5,7 @@
 use tokio::sync::oneshot;
 use yuccatide_steering::{gateway as decisions, matching, model};
 
-use super::{arrivals, connections, dialect, follow, lines, metrics, update};
+use super::{access, arrivals, connections, dialect, lines, metrics, update};
 use crate::clock;
 
 /// Time between decisions on requests that wait without an event.
@@ -34,7 +34,7 @@
     pub(super) connections: connections::Connections,
     lines: lines::Lines,
     /// Access to the platform's store.
-    pub access: follow::Access,
+    pub access: access::Access,
     /// Counters, histograms and gauges.
     pub metrics: metrics::Metrics,
     own: model::DataCentreId,
@@ -76,7 +76,7 @@
             clock: clock::Clock::new(),
             connections: connections::Connections::default(),
             lines: lines::Lines::default(),
-            access: follow::Access::default(),
+            access: access::Access::default(),
             metrics: metrics::Metrics::new(),
             own,
             settings,
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 //! It knows no platform: names of headers, the feed of configuration and backend servers, and the
 //! form of look-ups are given to it.
 
+mod access;
 mod activity;
 mod arrivals;
 mod body;
@@ -24,11 +25,10 @@
 mod sending;
 mod update;
 
+pub use access::{Access, Newest};
 pub use body::Body;
 pub use dialect::{Dialect, ServerLoad};
-pub use follow::{
-    Access, Change, Events, Freshness, Listing, News, Pace, Source, SourceError, follow,
-};
+pub use follow::{Change, Events, Freshness, Listing, News, Pace, Source, SourceError, follow};
 pub use front::Front;
 pub use gateway::{Gateway, Settings};
 pub use gossip::gossip;
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -163,7 +163,7 @@
 
 /// Loopback address of a host: runs beside each other differ by the process id, hosts by the last
 /// byte, since the metrics' port is the same on all hosts.
-fn own_address(number: usize) -> net::IpAddr {
+pub fn own_address(number: usize) -> net::IpAddr {
     let [.., b, c] = std::process::id().to_be_bytes();
     let last = u8::try_from(number + 2).unwrap_or(u8::MAX);
     net::IpAddr::V4(net::Ipv4Addr::new(127, b.max(1), c, last))
