--- a/crates/steering/src/gateway/policy.rs
+++ b/crates/steering/src/gateway/policy.rs
@@ -89,6 +89,16 @@
     }
 }
 
+impl Policy {
+    /// Names of the routes.
+    pub(super) fn route_names(&self) -> collections::HashSet<&str> {
+        self.routes
+            .iter()
+            .map(|route| route.name.as_str())
+            .collect()
+    }
+}
+
 impl Route {
     /// Whether a backend server of a region may serve the requests.
     pub fn allows(&self, region: &str) -> bool {
--- a/crates/steering/src/gateway/pool.rs
+++ b/crates/steering/src/gateway/pool.rs
@@ -124,11 +124,7 @@
 
     /// Forgets routes that the configuration no longer has.
     pub fn retain_routes(&mut self, policy: &policy::Policy) {
-        let names: collections::HashSet<&str> = policy
-            .routes
-            .iter()
-            .map(|route| route.name.as_str())
-            .collect();
+        let names = policy.route_names();
         self.fairness
             .values_mut()
             .for_each(|fairness| fairness.retain(|route| names.contains(route)));
--- a/crates/steering/src/gateway/returns.rs
+++ b/crates/steering/src/gateway/returns.rs
@@ -25,11 +25,7 @@
 
     /// Forgets routes that the configuration no longer has.
     pub fn retain(&mut self, policy: &policy::Policy) {
-        let names: collections::HashSet<&str> = policy
-            .routes
-            .iter()
-            .map(|route| route.name.as_str())
-            .collect();
+        let names = policy.route_names();
         self.usual.retain(|name, _| names.contains(name.as_str()));
     }
 }
