Work out each waiting request's order once per sorting and once per verdict

Cause: the review of the change: decide_service worked out the order of a request at each comparison of the sorting, and whether its route is starved twice more for the verdict; both look into maps. Change: the sorting caches its keys (it stays stable), and the verdict takes both facts from one order. Nothing changes in what is decided. Two comments in the soak say what the constants hold.

--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -14,7 +14,7 @@
 const SLOTS: u32 = 6;
 const QUEUE: usize = 12;
 
-/// Work of a request: shorter for some objects than for others.
+/// Work of a request: shorter for some ids than for others.
 const WORK: Duration = Duration::from_millis(20);
 const MORE_WORK: Duration = Duration::from_millis(40);
 
@@ -24,7 +24,7 @@
 /// Every how many answers one is spoilt.
 const SPOILT_EVERY: usize = 4;
 
-/// Time for which a started backend server is cold, and the requests a second it tolerates.
+/// Time for which a started backend server is cold.
 pub const WARMUP: Duration = Duration::from_secs(3);
 /// Requests a second that a cold backend server tolerates.
 pub const COLD_RATE: f64 = 15.0;
--- a/crates/steering/src/gateway/pool.rs
+++ b/crates/steering/src/gateway/pool.rs
@@ -148,7 +148,8 @@
     }
 
     /// Decides on the requests that wait: those of starved routes first, then those that can still
-    /// meet their objective, by rank, then by arrival.  `hosts` share the bound of cold backend servers.
+    /// meet their objective, by rank, then by arrival.  `hosts` share the bound of cold backend
+    /// servers.
     pub fn decide(&mut self, hosts: usize, now: model::Time) -> Vec<(Ticket, Decision)> {
         let services: Vec<model::ServiceId> = self.waiting.keys().cloned().collect();
         services
@@ -248,7 +249,7 @@
         let Some(mut queue) = self.waiting.remove(service) else {
             return Vec::new();
         };
-        queue.sort_by_key(|waiting| self.order(waiting, now));
+        queue.sort_by_cached_key(|waiting| self.order(waiting, now));
         let mut ahead = collections::HashMap::new();
         let mut decisions = Vec::new();
         let mut left: Vec<Waiting> = Vec::new();
@@ -264,10 +265,11 @@
             let choice = placement::choose(&cx, &waiting.req, now);
             let is_new = waiting.service.is_none();
             waiting.service = choice.map(|choice| choice.service);
+            let order = self.order(&waiting, now);
             let standing = admission::Standing {
                 is_new,
-                is_starved: self.is_starved(&waiting.req),
-                is_late: self.order(&waiting, now).is_late,
+                is_starved: !order.is_served,
+                is_late: order.is_late,
                 late_ahead: late,
             };
             match admission::verdict(&waiting.req, choice, standing, now) {
