Bound a host's heartbeats whatever the size of its data centre

Cause: each host sent 25 heartbeats a second to every other host of its data centre, each encoded anew for each receiver, and each one received summed up the requests in progress of all hosts and wrote them to all servers.

Change: a heartbeat is encoded once and goes to at most eight live hosts an interval, in turn; silent hosts get the sends that are left. A host counts as dead after five lost heartbeats, 0.8 s at least. Requests in progress of other hosts are totals that a message changes only for its sender. Summaries of different data centres go to different hosts. Placement picks the two best servers without sorting all of them.

Tests: members, remote_in_flight; node and platform tests; clippy.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -146,6 +146,7 @@
             let now = self.clock.now();
             let mut state = self.lock();
             state.dispatcher.servers.remove_missing(now);
+            state.drop_dead_in_flight(now);
             if last_sample.elapsed() >= demand::SAMPLE_INTERVAL {
                 last_sample = time::Instant::now();
                 state.demand.end_interval();
@@ -206,10 +207,7 @@
     }
 
     /// Messages to send to other hosts now.
-    pub fn outgoing_messages(
-        &self,
-        include_summary: bool,
-    ) -> Vec<(net::SocketAddr, decisions::Message)> {
+    pub fn outgoing_messages(&self, include_summary: bool) -> Vec<decisions::Outgoing> {
         let now = self.clock.now();
         let mut state = self.lock();
         let in_flight = state.dispatcher.in_flight_by_server();
@@ -230,18 +228,18 @@
             },
             newest: self.store_state.newest_revisions(),
         };
-        let mut messages = state.members.heartbeats_to_send(&heartbeat);
-        if include_summary {
-            messages.extend(state.members.summaries_to_send(&heartbeat, now));
-        }
-        messages
+        let summary = include_summary
+            .then(|| state.members.summary_to_send(&heartbeat, now))
+            .flatten();
+        let heartbeats = decisions::Outgoing {
+            to: state.members.heartbeat_recipients(now),
+            message: decisions::Message::Heartbeat(heartbeat),
+        };
+        [heartbeats].into_iter().chain(summary).collect()
     }
 
-    /// Applies a message from another host and returns the messages to forward.
-    pub fn handle_message(
-        &self,
-        message: decisions::Message,
-    ) -> Vec<(net::SocketAddr, decisions::Message)> {
+    /// Applies a message from another host and returns the message to forward, if any.
+    pub fn handle_message(&self, message: decisions::Message) -> Option<decisions::Outgoing> {
         let now = self.clock.now();
         let mut state = self.lock();
         let (blocks, shares, newest) = match &message {
@@ -261,12 +259,16 @@
         for (block, data_centre) in blocks {
             state.demand.record_block(*block, data_centre);
         }
-        let passed_on = state.members.receive(message, now);
-        state.update_remote_in_flight(now);
-        if state.dispatcher.has_waiting() {
-            self.decide(&mut state, now);
+        if let decisions::Message::Heartbeat(heartbeat) = &message
+            && heartbeat.member.data_centre == self.own_data_centre
+            && heartbeat.member.host != self.settings.member.host
+        {
+            state
+                .dispatcher
+                .remote_in_flight
+                .update(&heartbeat.member.host, &heartbeat.in_flight);
         }
-        passed_on
+        state.members.receive(message, now)
     }
 
     /// Route of a request, by HTTP host name and path.
@@ -443,17 +445,16 @@
         }
     }
 
-    /// Sums up the requests in progress that the other hosts of the data centre report.
-    fn update_remote_in_flight(&mut self, now: model::Time) {
-        let mut in_flight: collections::HashMap<u64, u32> = collections::HashMap::new();
-        for (server, count) in self
+    /// Drops the requests in progress at hosts that are no longer live.
+    fn drop_dead_in_flight(&mut self, now: model::Time) {
+        let live: collections::HashSet<&str> = self
             .members
             .live_heartbeats(now)
-            .flat_map(|heartbeat| &heartbeat.in_flight)
-        {
-            *in_flight.entry(*server).or_default() += count;
-        }
-        self.dispatcher.servers.set_heartbeat_in_flight(&in_flight);
+            .map(|heartbeat| heartbeat.member.host.as_str())
+            .collect();
+        self.dispatcher
+            .remote_in_flight
+            .retain(|host| live.contains(host));
     }
 
     /// Capacity and demand, in slots, of the services of an HTTP host name.
--- a/crates/node/src/gateway/gossip.rs
+++ b/crates/node/src/gateway/gossip.rs
@@ -43,15 +43,19 @@
     }
 }
 
-async fn send(socket: &UdpSocket, messages: Vec<(net::SocketAddr, decisions::Message)>) {
-    for (address, message) in messages {
-        match postcard::to_allocvec(&message) {
-            Ok(bytes) => {
-                if let Err(e) = socket.send_to(&bytes, address).await {
-                    log::debug!(address:%, error:% = e; "failed to send a datagram");
-                }
+async fn send(socket: &UdpSocket, messages: impl IntoIterator<Item = decisions::Outgoing>) {
+    for decisions::Outgoing { to, message } in messages {
+        let bytes = match postcard::to_allocvec(&message) {
+            Ok(bytes) => bytes,
+            Err(e) => {
+                log::error!(error:% = e; "failed to encode a message");
+                continue;
+            }
+        };
+        for address in to {
+            if let Err(e) = socket.send_to(&bytes, address).await {
+                log::debug!(address:%, error:% = e; "failed to send a datagram");
             }
-            Err(e) => log::error!(error:% = e; "failed to encode a message"),
         }
     }
 }
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -3,8 +3,8 @@
 use std::{collections, time};
 
 use super::{
-    admission, fairness, outcome, placement, policy, request, retry_budget, server, server_set,
-    service_times,
+    admission, fairness, outcome, placement, policy, remote_in_flight, request, retry_budget,
+    server, server_set, service_times,
 };
 use crate::model;
 
@@ -65,6 +65,8 @@
 pub struct Dispatcher {
     /// Known backend servers.
     pub servers: server_set::ServerSet,
+    /// Requests in progress from the other hosts of the data centre.
+    pub remote_in_flight: remote_in_flight::RemoteInFlight,
     times: service_times::ServiceTimeEstimates,
     data_centre: model::DataCentreId,
     regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
@@ -88,6 +90,7 @@
     ) -> Dispatcher {
         Dispatcher {
             servers: server_set::ServerSet::default(),
+            remote_in_flight: remote_in_flight::RemoteInFlight::default(),
             times: service_times::ServiceTimeEstimates::default(),
             data_centre: data_centre.to_string(),
             regions,
@@ -268,6 +271,7 @@
                 times: &self.times,
                 data_centre: &self.data_centre,
                 regions: &self.regions,
+                remote_in_flight: &self.remote_in_flight,
                 queued_ahead: &queued_ahead,
             };
             let choice = placement::choose(&cx, &waiting.req, now);
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -8,6 +8,7 @@
 use std::{collections, net, time};
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
 
 use crate::model;
 
@@ -17,9 +18,15 @@
 /// Interval between summaries to other data centres.
 pub const SUMMARY_INTERVAL: time::Duration = time::Duration::from_millis(1000);
 
-/// Time without a heartbeat after which a host of the same data centre counts as dead: several lost
-/// heartbeats.
-const HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+/// Largest number of live hosts that get a heartbeat in one interval; the others get it in the next
+/// ones, so that the messages of a host don't grow with its data centre.
+const MAX_HEARTBEATS_PER_INTERVAL: usize = 8;
+
+/// Shortest time without a heartbeat after which a host of the same data centre counts as dead.
+const MIN_HEARTBEAT_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+
+/// Number of lost heartbeats in a row after which a host of the same data centre counts as dead.
+const MAX_LOST_HEARTBEATS: u32 = 5;
 
 /// Time without a summary after which the hosts of another data centre count as dead: several lost
 /// summaries.
@@ -119,6 +126,15 @@
     },
 }
 
+/// A message and the hosts that it goes to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outgoing {
+    /// Addresses of the receivers.
+    pub to: Vec<net::SocketAddr>,
+    /// The message.
+    pub message: Message,
+}
+
 #[derive(Clone, Debug)]
 struct Received<T> {
     value: T,
@@ -134,6 +150,10 @@
     summaries: collections::BTreeMap<model::DataCentreId, Received<Summary>>,
     /// Host of each other data centre that summaries are sent to, and the time of its selection.
     recipients: collections::BTreeMap<model::DataCentreId, Received<model::HostId>>,
+    /// Live host of the own data centre that got the last heartbeat.
+    last_live_recipient: Option<model::HostId>,
+    /// Silent host of the own data centre that got the last heartbeat.
+    last_silent_recipient: Option<model::HostId>,
 }
 
 impl Members {
@@ -146,6 +166,8 @@
             heartbeats: collections::BTreeMap::new(),
             summaries: collections::BTreeMap::new(),
             recipients: collections::BTreeMap::new(),
+            last_live_recipient: None,
+            last_silent_recipient: None,
         }
     }
 
@@ -161,16 +183,12 @@
         }
     }
 
-    /// Handles a message; returns the messages to forward.
-    pub fn receive(
-        &mut self,
-        message: Message,
-        now: model::Time,
-    ) -> Vec<(net::SocketAddr, Message)> {
+    /// Handles a message; returns the message to forward, if any.
+    pub fn receive(&mut self, message: Message, now: model::Time) -> Option<Outgoing> {
         match message {
             Message::Heartbeat(heartbeat) => {
                 self.handle_heartbeat(heartbeat, now);
-                Vec::new()
+                None
             }
             Message::Summary { summary, relay } => self.handle_summary(summary, relay, now),
         }
@@ -197,9 +215,9 @@
         summary: Summary,
         relay: bool,
         now: model::Time,
-    ) -> Vec<(net::SocketAddr, Message)> {
+    ) -> Option<Outgoing> {
         if summary.data_centre == self.own.data_centre {
-            return Vec::new();
+            return None;
         }
         summary
             .members
@@ -217,33 +235,48 @@
                 at: now,
             },
         );
-        if !relay {
-            return Vec::new();
-        }
-        self.local_peers()
-            .map(|member| (member.peers, relayed.clone()))
-            .collect()
+        relay.then(|| Outgoing {
+            to: self.local_peers().map(|member| member.peers).collect(),
+            message: relayed,
+        })
     }
 
-    /// Returns the heartbeats to send to the other hosts of the own data centre.
-    pub fn heartbeats_to_send(&self, heartbeat: &Heartbeat) -> Vec<(net::SocketAddr, Message)> {
-        self.local_peers()
-            .map(|member| (member.peers, Message::Heartbeat(heartbeat.clone())))
-            .collect()
+    /// Returns the addresses of the other hosts of the own data centre that get a heartbeat in this
+    /// interval: the live ones in turn, and silent ones with the sends that are left, at least one.
+    pub fn heartbeat_recipients(&mut self, now: model::Time) -> Vec<net::SocketAddr> {
+        let live: collections::BTreeSet<&model::HostId> = self
+            .live_heartbeats(now)
+            .map(|heartbeat| &heartbeat.member.host)
+            .collect();
+        let (live, silent): (Vec<&Member>, Vec<&Member>) = self
+            .local_peers()
+            .partition(|member| live.contains(&member.host));
+        let silent_count = MAX_HEARTBEATS_PER_INTERVAL
+            .saturating_sub(live.len())
+            .max(1);
+        let live = next_in_turn(
+            &live,
+            &self.last_live_recipient,
+            MAX_HEARTBEATS_PER_INTERVAL,
+        );
+        let silent = next_in_turn(&silent, &self.last_silent_recipient, silent_count);
+        let recipients = live.iter().chain(&silent).map(|member| member.peers);
+        let recipients = recipients.collect();
+        let host = |member: &&Member| member.host.clone();
+        let (last_live, last_silent) = (live.last().map(host), silent.last().map(host));
+        self.last_live_recipient = last_live;
+        self.last_silent_recipient = last_silent;
+        recipients
     }
 
-    /// Returns the summaries to send to other data centres; empty unless this host has the smallest
+    /// Returns the summary to send to other data centres; `None` unless this host has the smallest
     /// name of the live hosts in its data centre.
-    pub fn summaries_to_send(
-        &mut self,
-        heartbeat: &Heartbeat,
-        now: model::Time,
-    ) -> Vec<(net::SocketAddr, Message)> {
+    pub fn summary_to_send(&mut self, heartbeat: &Heartbeat, now: model::Time) -> Option<Outgoing> {
         let is_summary_sender = self
             .live_heartbeats(now)
             .all(|other| self.own.host < other.member.host);
         if !is_summary_sender {
-            return Vec::new();
+            return None;
         }
         let message = Message::Summary {
             summary: self.summary(heartbeat, now),
@@ -255,11 +288,11 @@
             .map(|member| member.data_centre.clone())
             .filter(|data_centre| *data_centre != self.own.data_centre)
             .collect();
-        data_centres
+        let to = data_centres
             .into_iter()
             .filter_map(|data_centre| self.recipient(&data_centre, now))
-            .map(|address| (address, message.clone()))
-            .collect()
+            .collect();
+        Some(Outgoing { to, message })
     }
 
     fn summary(&self, heartbeat: &Heartbeat, now: model::Time) -> Summary {
@@ -308,7 +341,8 @@
         let next = match (position, due) {
             (Some(at), false) => at,
             (Some(at), true) => (at + 1) % hosts.len(),
-            (None, _) => 0,
+            // Different data centres send to different hosts, which share the work of relaying.
+            (None, _) => hash(&self.own.data_centre) % hosts.len().max(1),
         };
         let chosen = (*hosts.get(next)?).clone();
         if position != Some(next) || due {
@@ -321,12 +355,23 @@
 
     /// Newest heartbeats of the other live hosts of the own data centre.
     pub fn live_heartbeats(&self, now: model::Time) -> impl Iterator<Item = &Heartbeat> {
+        let timeout = self.heartbeat_timeout();
         self.heartbeats
             .values()
-            .filter(move |received| now <= received.at + HEARTBEAT_TIMEOUT)
+            .filter(move |received| now <= received.at + timeout)
             .map(|received| &received.value)
     }
 
+    /// Time without a heartbeat after which a host of the own data centre counts as dead.
+    fn heartbeat_timeout(&self) -> time::Duration {
+        let intervals = self
+            .local_peers()
+            .count()
+            .div_ceil(MAX_HEARTBEATS_PER_INTERVAL);
+        let interval = HEARTBEAT_INTERVAL * u32::try_from(intervals).unwrap_or(u32::MAX);
+        MIN_HEARTBEAT_TIMEOUT.max(interval * MAX_LOST_HEARTBEATS)
+    }
+
     /// Newest summaries of the other data centres that have live hosts.
     pub fn live_summaries(&self, now: model::Time) -> impl Iterator<Item = &Summary> {
         self.summaries
@@ -375,6 +420,21 @@
     }
 }
 
+/// Up to `count` members in turn, starting after the host `last`; `members` are ordered by host.
+fn next_in_turn<'a>(
+    members: &[&'a Member],
+    last: &Option<model::HostId>,
+    count: usize,
+) -> Vec<&'a Member> {
+    let start = members.partition_point(|member| Some(&member.host) <= last.as_ref());
+    let (before, after) = members.split_at(start);
+    after.iter().chain(before).take(count).copied().collect()
+}
+
+fn hash(text: &str) -> usize {
+    xxh3::xxh3_64(text.as_bytes()) as usize
+}
+
 /// Sums the loads that have the same service, data centre and regions.
 pub fn sum_loads<'a>(loads: impl Iterator<Item = &'a Load>) -> Vec<Load> {
     let mut sums: collections::BTreeMap<_, f64> = collections::BTreeMap::new();
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod outcome;
 mod placement;
 mod policy;
+mod remote_in_flight;
 mod request;
 mod retry_budget;
 mod route_table;
@@ -23,11 +24,12 @@
 pub use dispatcher::{Decision, Dispatcher, RetryLimits, Ticket};
 pub use lookup_balancer::{CapacityAndDemand, Client, LookupBalancer};
 pub use members::{
-    HEARTBEAT_INTERVAL, Heartbeat, Load, LookupShares, Member, Members, Message, SUMMARY_INTERVAL,
-    Summary,
+    HEARTBEAT_INTERVAL, Heartbeat, Load, LookupShares, Member, Members, Message, Outgoing,
+    SUMMARY_INTERVAL, Summary,
 };
 pub use outcome::{NextAction, Outcome, Reason};
 pub use policy::{ClientLimits, Policy, Route, Service, WeightedService};
+pub use remote_in_flight::RemoteInFlight;
 pub use request::Request;
 pub use retry_budget::RetryBudget;
 pub use route_table::{RouteMatch, RouteTable};
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3;
 
-use super::{request, server, server_set, service_times};
+use super::{remote_in_flight, request, server, server_set, service_times};
 use crate::model;
 
 /// Share of requests that find their object cached at its preferred backend server although this
@@ -32,6 +32,8 @@
     pub data_centre: &'a str,
     /// Region of each data centre.
     pub regions: &'a collections::BTreeMap<model::DataCentreId, model::RegionId>,
+    /// Requests in progress from other hosts of the data centre.
+    pub remote_in_flight: &'a remote_in_flight::RemoteInFlight,
     /// Number of requests with a higher priority that wait for each backend server.
     pub queued_ahead: &'a collections::HashMap<server_set::ServerIndex, u32>,
 }
@@ -95,13 +97,24 @@
 
 /// Backend servers that a request may be sent to, the preferred one of its object first; all usable
 /// ones for a request without an object.
-fn candidates<'a>(req: &request::Request, mut usable: Vec<Candidate<'a>>) -> Vec<Candidate<'a>> {
-    if let Some(object) = req.object_hash {
-        usable
-            .sort_by_cached_key(|(_, server)| std::cmp::Reverse(weight(server.name_hash, object)));
-        usable.truncate(MAX_CANDIDATES);
+fn candidates<'a>(req: &request::Request, usable: Vec<Candidate<'a>>) -> Vec<Candidate<'a>> {
+    let Some(object) = req.object_hash else {
+        return usable;
+    };
+    let mut weighted: Vec<(u64, Candidate<'a>)> = usable
+        .into_iter()
+        .map(|candidate| (weight(candidate.1.name_hash, object), candidate))
+        .collect();
+    let heavier = |a: &(u64, Candidate<'a>), b: &(u64, Candidate<'a>)| b.0.cmp(&a.0);
+    if weighted.len() > MAX_CANDIDATES {
+        weighted.select_nth_unstable_by(MAX_CANDIDATES - 1, heavier);
+        weighted.truncate(MAX_CANDIDATES);
     }
-    usable
+    weighted.sort_by(heavier);
+    weighted
+        .into_iter()
+        .map(|(_, candidate)| candidate)
+        .collect()
 }
 
 fn score(
@@ -122,7 +135,8 @@
         _ => uncached_seconds,
     };
     let queued_ahead = cx.queued_ahead.get(&index).copied().unwrap_or(0);
-    let load = server.in_flight() + server.remote_in_flight(now) + queued_ahead;
+    let remote = server.remote_in_flight(cx.remote_in_flight.at(server.name_hash), now);
+    let load = server.in_flight() + remote + queued_ahead;
     let slots = server.entry.slots.max(1);
     let queued = (load + 1).saturating_sub(slots);
     let mean_service_seconds = (cached_seconds + uncached_seconds) / 2.0;
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -85,8 +85,6 @@
     pub name_hash: u64,
     /// Whether its data centre is evacuated.
     pub(super) is_evacuated: bool,
-    /// Number of requests in progress from other hosts of the data centre, by their heartbeats.
-    pub(super) heartbeat_in_flight: u32,
     /// Time of its last load report, and the number of requests from other hosts in it.
     last_report: (model::Time, u32),
     in_flight: Vec<InFlight>,
@@ -110,7 +108,6 @@
             cold_until: now + entry.warmup_left,
             name_hash: xxh3::xxh3_64(entry.id.as_bytes()),
             is_evacuated: false,
-            heartbeat_in_flight: 0,
             last_report: (model::Time::ZERO, 0),
             entry,
             in_flight: Vec::new(),
@@ -171,13 +168,13 @@
         self.in_flight.len() as u32
     }
 
-    /// Number of requests in progress from other hosts: the larger of their heartbeats' sum and the
-    /// server's own report, if that is recent.
-    pub fn remote_in_flight(&self, now: model::Time) -> u32 {
+    /// Number of requests in progress from other hosts: the larger of `in_heartbeats`, the sum of
+    /// their heartbeats, and the server's own report, if that is recent.
+    pub fn remote_in_flight(&self, in_heartbeats: u32, now: model::Time) -> u32 {
         let (reported_at, requests) = self.last_report;
         match now <= reported_at + MAX_REPORT_AGE {
-            true => self.heartbeat_in_flight.max(requests),
-            false => self.heartbeat_in_flight,
+            true => in_heartbeats.max(requests),
+            false => in_heartbeats,
         }
     }
 
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -150,14 +150,6 @@
         &self.evacuated
     }
 
-    /// Sets the numbers of requests that other hosts of the data centre have in progress, by the
-    /// hash of the backend server's name.
-    pub fn set_heartbeat_in_flight(&mut self, in_flight: &collections::HashMap<u64, u32>) {
-        for server in self.servers.values_mut() {
-            server.heartbeat_in_flight = in_flight.get(&server.name_hash).copied().unwrap_or(0);
-        }
-    }
-
     /// Returns the backend server with this index, if it is known.
     pub fn get(&self, index: ServerIndex) -> Option<&server::Server> {
         self.servers.get(&index)
--- a/crates/steering/tests/gateway/dispatcher.rs
+++ b/crates/steering/tests/gateway/dispatcher.rs
@@ -163,14 +163,10 @@
 fn requests_of_other_hosts_occupy_slots() {
     let mut dispatcher = dispatcher_with_servers(1, 2);
     let hash = dispatcher.servers.iter().next().unwrap().1.name_hash;
-    dispatcher
-        .servers
-        .set_heartbeat_in_flight(&[(hash, 2)].into());
+    dispatcher.remote_in_flight.update("other", &[(hash, 2)]);
     dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(0)));
     assert!(sent(&dispatcher.decide(2, ms(0))).is_empty());
-    dispatcher
-        .servers
-        .set_heartbeat_in_flight(&collections::HashMap::new());
+    dispatcher.remote_in_flight.update("other", &[]);
     assert_eq!(sent(&dispatcher.decide(2, ms(1))).len(), 1);
 }
 
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod lookup_balancer;
 mod members;
 mod outcome;
+mod remote_in_flight;
 mod retry_budget;
 mod routes;
 mod server_set;
--- a/crates/steering/tests/gateway/members.rs
+++ b/crates/steering/tests/gateway/members.rs
@@ -19,16 +19,21 @@
 struct Network {
     hosts: collections::BTreeMap<net::SocketAddr, gateway::Members>,
     down: collections::BTreeSet<model::HostId>,
+    /// Largest number of messages that a host sent in one interval.
+    most_sent: usize,
 }
 
 impl Network {
     fn new() -> Network {
-        let all = [
+        Network::with_hosts(&[
             member("a1-1", "a1", 1),
             member("a1-2", "a1", 2),
             member("b1-1", "b1", 3),
             member("b1-2", "b1", 4),
-        ];
+        ])
+    }
+
+    fn with_hosts(all: &[gateway::Member]) -> Network {
         let hosts = all.iter().map(|own| {
             let mut members = gateway::Members::new(own.clone());
             all.iter().cloned().for_each(|other| members.upsert(other));
@@ -37,6 +42,7 @@
         Network {
             hosts: hosts.collect(),
             down: collections::BTreeSet::new(),
+            most_sent: 0,
         }
     }
 
@@ -64,15 +70,24 @@
                     shares: Vec::new(),
                     newest: Default::default(),
                 };
-                messages.extend(host.heartbeats_to_send(&heartbeat));
-                if now_ms % 480 == 0 {
-                    messages.extend(host.summaries_to_send(&heartbeat, ms(now_ms)));
-                }
+                let summary = (now_ms % 480 == 0)
+                    .then(|| host.summary_to_send(&heartbeat, ms(now_ms)))
+                    .flatten();
+                let to = host.heartbeat_recipients(ms(now_ms));
+                let summaries = summary.as_ref().map_or(0, |summary| summary.to.len());
+                self.most_sent = self.most_sent.max(to.len() + summaries);
+                messages.push(gateway::Outgoing {
+                    to,
+                    message: gateway::Message::Heartbeat(heartbeat),
+                });
+                messages.extend(summary);
             }
-            while let Some((to, message)) = messages.pop() {
-                if !self.is_down(&to) {
-                    let host = self.hosts.get_mut(&to).unwrap();
-                    messages.extend(host.receive(message, ms(now_ms)));
+            while let Some(gateway::Outgoing { to, message }) = messages.pop() {
+                let reached: Vec<net::SocketAddr> =
+                    to.into_iter().filter(|to| !self.is_down(to)).collect();
+                for address in reached {
+                    let host = self.hosts.get_mut(&address).unwrap();
+                    messages.extend(host.receive(message.clone(), ms(now_ms)));
                 }
             }
         }
@@ -108,6 +123,45 @@
     assert_eq!(network.visible_hosts(4, "a1", 6000).len(), 2);
 }
 
+/// Hosts of two data centres of `count` hosts each.
+fn large_data_centres(count: u16) -> Vec<gateway::Member> {
+    (0..count)
+        .flat_map(|i| {
+            [
+                member(&format!("a1-{i:03}"), "a1", 2 * i + 1),
+                member(&format!("b1-{i:03}"), "b1", 2 * i + 2),
+            ]
+        })
+        .collect()
+}
+
+#[test]
+fn messages_of_a_host_do_not_grow_with_its_data_centre() {
+    let mut small = Network::with_hosts(&large_data_centres(10));
+    small.run(0, 4000);
+    let mut large = Network::with_hosts(&large_data_centres(60));
+    large.run(0, 4000);
+    assert!(
+        large.most_sent <= small.most_sent,
+        "{} messages in an interval at 60 hosts, {} at 10",
+        large.most_sent,
+        small.most_sent
+    );
+    assert_eq!(large.visible_hosts(1, "a1", 4000).len(), 60);
+    assert_eq!(large.visible_hosts(1, "b1", 4000).len(), 60);
+}
+
+#[test]
+fn dead_hosts_of_a_large_data_centre_are_removed_within_two_seconds() {
+    let mut network = Network::with_hosts(&large_data_centres(40));
+    network.run(0, 4000);
+    let dead = (0..20).map(|i| format!("a1-{i:03}"));
+    network.down.extend(dead);
+    network.run(4000, 6000);
+    assert_eq!(network.visible_hosts(79, "a1", 6000).len(), 20);
+    assert_eq!(network.visible_hosts(79, "b1", 6000).len(), 40);
+}
+
 #[test]
 fn silent_data_centre_is_removed_and_returns_with_its_messages() {
     let mut network = Network::new();
