Read the store with two hosts of a data centre

Change: in a data centre of four hosts or more the two with the smallest names read the store. They read the store themselves when no source is live, when it answers that the store fails for it, when its history is gone, or when any host has seen a change that it lacks. A list older than the newest known change is not used. Only what was read from the store is passed on, so no host follows one that follows another. Hosts find each other by introductions to the seeds and by contacts in heartbeats; only readers list the hosts.

Ruled out: counting a source that is turned away as an outage of the store each time; removals would be put off for as long as that lasts.

The small twin has too few hosts in a data centre to follow: unchanged.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -14,11 +14,22 @@
 /// Time between evictions of unusable idle connections.
 const EVICTION_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
+/// Time after the first start of a deployment in which its hosts find each other.  All start at
+/// once, and no client is served before.
+const FIRST_START_TIME: time::Duration = time::Duration::from_millis(1500);
+
+/// Longest time in which a restarted host waits for the other hosts of its data centre.
+const RESTART_TIME: time::Duration = time::Duration::from_millis(300);
+
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
 pub struct Settings {
     /// This host.
     pub member: decisions::Member,
+    /// Addresses of some hosts, which may be down or replaced.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Whether the whole deployment starts for the first time.
+    pub is_first_start: bool,
     /// Region of each data centre.
     pub regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
     /// Bounds on retries.
@@ -39,6 +50,7 @@
     pub metrics: metrics::Metrics,
     own_data_centre: model::DataCentreId,
     settings: Settings,
+    started: model::Time,
     state: sync::Mutex<State>,
 }
 
@@ -67,7 +79,8 @@
                 settings.regions.clone(),
                 settings.retry,
             ),
-            members: decisions::Members::new(settings.member.clone()),
+            members: decisions::Members::new(settings.member.clone())
+                .with_seeds(settings.seeds.clone()),
             lookup_balancer: decisions::LookupBalancer::new(settings.max_shift),
             demand: demand::DemandEstimator::default(),
             client_retries: decisions::ClientRetryDetector::default(),
@@ -75,9 +88,11 @@
             decision_senders: collections::HashMap::new(),
             is_stopping: false,
         };
+        let clock = clock::Clock::new();
         Gateway {
             header_names,
-            clock: clock::Clock::new(),
+            started: clock.now(),
+            clock,
             connection_pool: connection_pool::ConnectionPool::default(),
             log_limiter: log_limit::LogLimiter::default(),
             store_state: store_state::StoreState::default(),
@@ -210,7 +225,9 @@
     pub fn outgoing_messages(&self, include_summary: bool) -> Vec<decisions::Outgoing> {
         let now = self.clock.now();
         let mut state = self.lock();
+        let introduction = state.members.introduction_to_send(self.started, now);
         let in_flight = state.dispatcher.in_flight_by_server();
+        let contacts = state.members.contacts_to_send(now);
         let heartbeat = decisions::Heartbeat {
             member: self.settings.member.clone(),
             is_ready: state.route_table.version().is_some() && !state.is_stopping,
@@ -227,6 +244,7 @@
                 Vec::new()
             },
             newest: self.store_state.newest_revisions(),
+            contacts,
         };
         let summary = include_summary
             .then(|| state.members.summary_to_send(&heartbeat, now))
@@ -235,29 +253,25 @@
             to: state.members.heartbeat_recipients(now),
             message: decisions::Message::Heartbeat(heartbeat),
         };
-        [heartbeats].into_iter().chain(summary).collect()
+        [heartbeats]
+            .into_iter()
+            .chain(summary)
+            .chain(introduction)
+            .collect()
     }
 
     /// Applies a message from another host and returns the message to forward, if any.
     pub fn handle_message(&self, message: decisions::Message) -> Option<decisions::Outgoing> {
         let now = self.clock.now();
         let mut state = self.lock();
-        let (blocks, shares, newest) = match &message {
-            decisions::Message::Heartbeat(heartbeat) => {
-                (&heartbeat.blocks, &heartbeat.shares, &heartbeat.newest)
+        match &message {
+            decisions::Message::Heartbeat(h) => {
+                self.adopt_news(&mut state, &h.blocks, &h.shares, &h.newest, now);
             }
-            decisions::Message::Summary { summary, .. } => {
-                (&summary.blocks, &summary.shares, &summary.newest)
+            decisions::Message::Summary { summary: s, .. } => {
+                self.adopt_news(&mut state, &s.blocks, &s.shares, &s.newest, now);
             }
-        };
-        for (kind, revision) in newest {
-            self.store_state.record_revision(kind, *revision);
-        }
-        state
-            .lookup_balancer
-            .adopt_shares(shares, &self.settings.regions, now);
-        for (block, data_centre) in blocks {
-            state.demand.record_block(*block, data_centre);
+            decisions::Message::Introduction(_) | decisions::Message::Contacts(_) => {}
         }
         if let decisions::Message::Heartbeat(heartbeat) = &message
             && heartbeat.member.data_centre == self.own_data_centre
@@ -271,6 +285,50 @@
         state.members.receive(message, now)
     }
 
+    /// Takes over what a message says besides its sender's state.
+    fn adopt_news(
+        &self,
+        state: &mut State,
+        blocks: &[(net::IpAddr, model::DataCentreId)],
+        shares: &[decisions::LookupShares],
+        newest: &store_state::NewestRevisions,
+        now: model::Time,
+    ) {
+        for (kind, revision) in newest {
+            self.store_state.record_revision(kind, *revision);
+        }
+        state
+            .lookup_balancer
+            .adopt_shares(shares, &self.settings.regions, now);
+        for (block, data_centre) in blocks {
+            state.demand.record_block(*block, data_centre);
+        }
+    }
+
+    /// Addresses of the hosts that this one reads the store from, preferred first; none if it
+    /// reads the store itself.
+    pub fn store_sources(&self) -> Vec<net::SocketAddr> {
+        let now = self.clock.now();
+        self.lock().members.store_sources(now)
+    }
+
+    /// Whether the host has had time to find the others of its data centre since its start.
+    pub fn has_found_hosts(&self) -> bool {
+        let now = self.clock.now();
+        let age = now.saturating_sub(self.started);
+        match self.settings.is_first_start {
+            true => age >= FIRST_START_TIME,
+            false => age >= RESTART_TIME || self.lock().members.is_introduced(now),
+        }
+    }
+
+    /// Whether the deployment has just started for the first time, so that the hosts which read
+    /// the store may still be listing it.
+    pub fn is_first_start(&self) -> bool {
+        let age = self.clock.now().saturating_sub(self.started);
+        self.settings.is_first_start && age < 2 * FIRST_START_TIME
+    }
+
     /// Route of a request, by HTTP host name and path.
     pub(super) fn find_route(&self, host_name: &str, path: &str) -> decisions::RouteMatch {
         self.lock().route_table.find(host_name, path)
--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -1,10 +1,10 @@
 //! Lists one kind of object in the platform's store and then watches it by long polling.
 
-use std::{future, pin, time};
+use std::{future, pin, sync, time};
 
 use thiserror::Error;
 
-use super::store_state;
+use super::{store_copy, store_state};
 
 /// Longest delay after a failed connection attempt; such an attempt puts no load on the store.
 const MAX_CONNECT_BACKOFF: time::Duration = time::Duration::from_millis(200);
@@ -62,6 +62,20 @@
 /// Future of a call to the store.
 type StoreFuture<T> = pin::Pin<Box<dyn future::Future<Output = Result<T, StoreError>> + Send>>;
 
+/// Result of reading from another host of the data centre.
+#[derive(Clone, Debug)]
+pub enum Followed<T> {
+    /// What the other host has.
+    Read(T),
+    /// No host to read from could answer, or this host reads the store itself.
+    NoSource,
+    /// All hosts to read from answered that the store fails for them.
+    StoreFailed,
+}
+
+/// Future of reading from another host.
+type FollowFuture<T> = pin::Pin<Box<dyn future::Future<Output = Followed<T>> + Send>>;
+
 /// How recent a list has to be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Freshness {
@@ -74,9 +88,15 @@
 /// Calls that read one kind of object.
 pub struct StoreReader<T> {
     /// Lists all objects.
-    pub list: Box<dyn Fn(Freshness) -> StoreFuture<Listing<T>> + Send>,
+    pub list: Box<dyn Fn(Freshness) -> StoreFuture<Listing<T>> + Send + Sync>,
     /// Waits for changes since a revision.
-    pub watch: Box<dyn Fn(u64) -> StoreFuture<WatchBatch<T>> + Send>,
+    pub watch: Box<dyn Fn(u64) -> StoreFuture<WatchBatch<T>> + Send + Sync>,
+    /// Lists all objects that another host has.
+    pub follow_list: Box<dyn Fn() -> FollowFuture<Listing<T>> + Send + Sync>,
+    /// Waits for changes since a revision that another host has seen.
+    pub follow: Box<dyn Fn(u64) -> FollowFuture<WatchBatch<T>> + Send + Sync>,
+    /// What other hosts read from this one.
+    pub copy: sync::Arc<store_copy::StoreCopy>,
 }
 
 /// How one kind of object is listed and watched.
@@ -111,38 +131,54 @@
     let mut freshness = options.initial_freshness;
     let mut revision = None;
     let mut was_interrupted = false;
+    let mut was_store_failed = false;
     loop {
         let permit = state.acquire_permit().await;
         if permit.is_some() {
             // A list shows at once that the store is back; a watch would wait for a change.
             revision = None;
         }
-        let mut has_changes = false;
-        let result = match revision {
-            None => (reader.list)(freshness).await.map(|listing| {
-                revision = Some(listing.revision);
-                on_event(StoreEvent::Available(true));
-                on_event(StoreEvent::Listed(listing.objects));
-            }),
-            Some(since) => watch_until_stale(kind, state, (reader.watch)(since), since)
+        let followed = follow(&reader, revision).await;
+        let is_followed = matches!(followed, Followed::Read(_));
+        let is_store_failed = matches!(followed, Followed::StoreFailed);
+        if is_store_failed && !was_store_failed {
+            // Entries that lapsed in an outage which only the other hosts noticed are kept, too.
+            on_event(StoreEvent::Available(false));
+        }
+        was_store_failed = is_store_failed;
+        let result = match (followed, revision) {
+            (Followed::Read(read), _) => Ok(read),
+            (_, None) => (reader.list)(freshness).await.map(Read::Listing),
+            (_, Some(since)) => watch_until_stale(kind, state, (reader.watch)(since), since)
                 .await
-                .map(|batch| {
+                .map(Read::Changes),
+        };
+        let mut has_changes = false;
+        let result = result.map(|read| {
+            on_event(StoreEvent::Available(true));
+            match read {
+                Read::Listing(listing) => {
+                    revision = Some(listing.revision);
+                    on_event(StoreEvent::Listed(listing.objects));
+                }
+                Read::Changes(batch) => {
                     state.record_revision(kind, batch.newest_revision);
-                    revision = Some(batch.revision.max(since));
+                    revision = revision.max(Some(batch.revision));
                     has_changes = !batch.changes.is_empty();
-                    on_event(StoreEvent::Available(true));
                     batch
                         .changes
                         .into_iter()
                         .for_each(|change| on_event(StoreEvent::Changed(change)));
-                }),
-        };
+                }
+            }
+        });
         freshness = Freshness::Current;
         match result {
             Ok(()) => {
                 was_interrupted = false;
                 state.record_success(permit);
-                if has_changes {
+                // The host that reads the store has waited already.
+                if has_changes && !is_followed {
                     tokio::time::sleep(options.batch_delay).await;
                 }
             }
@@ -156,6 +192,7 @@
             Err(e) => {
                 log::warn!(kind, error:% = e; "store call failed");
                 revision = None;
+                reader.copy.set_not_current();
                 if e == StoreError::HistoryGone {
                     state.record_success(permit);
                     continue;
@@ -171,6 +208,31 @@
     }
 }
 
+/// What was read of one kind.
+enum Read<T> {
+    Listing(Listing<T>),
+    Changes(WatchBatch<T>),
+}
+
+/// Reads from another host: all objects without a revision, or else the changes since it.
+async fn follow<T>(reader: &StoreReader<T>, revision: Option<u64>) -> Followed<Read<T>> {
+    match revision {
+        None => (reader.follow_list)().await.map(Read::Listing),
+        Some(since) => (reader.follow)(since).await.map(Read::Changes),
+    }
+}
+
+impl<T> Followed<T> {
+    /// Converts what was read.
+    pub fn map<U>(self, f: impl FnOnce(T) -> U) -> Followed<U> {
+        match self {
+            Followed::Read(read) => Followed::Read(f(read)),
+            Followed::NoSource => Followed::NoSource,
+            Followed::StoreFailed => Followed::StoreFailed,
+        }
+    }
+}
+
 /// Waits for changes; fails if the watch does not deliver a change that other hosts have seen.
 async fn watch_until_stale<T>(
     kind: &str,
@@ -180,7 +242,7 @@
 ) -> Result<WatchBatch<T>, StoreError> {
     tokio::select! {
         batch = changes => batch,
-        () = state.wait_until_stale(kind, since) => {
+        () = state.wait_until_stale(kind, since, store_state::STALE_WATCH_TIMEOUT) => {
             log::info!(kind, since; "store watch is stale; other hosts have seen newer changes");
             Err(StoreError::Interrupted("stale watch".to_string()))
         }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod log_limit;
 mod metrics;
 mod response;
+mod store_copy;
 mod store_state;
 mod update;
 
@@ -31,9 +32,10 @@
 pub use gossip::gossip;
 pub use header_names::{HeaderNames, ServerLoad};
 pub use list_watch::{
-    Change, Freshness, Listing, StoreError, StoreEvent, StoreReader, WatchBatch, WatchOptions,
-    list_and_watch,
+    Change, Followed, Freshness, Listing, StoreError, StoreEvent, StoreReader, WatchBatch,
+    WatchOptions, list_and_watch,
 };
 pub use metrics::Metrics;
+pub use store_copy::{CopyError, RawChange, RawChanges, RawListing, StoreCopy};
 pub use store_state::{NewestRevisions, StoreState};
 pub use update::Update;
--- /dev/null
+++ b/crates/node/src/gateway/store_copy.rs
@@ -0,0 +1,156 @@
+//! Copy of the store's objects of one kind, from which other hosts of the data centre read.
+
+use std::{collections, time};
+
+use tokio::sync;
+
+/// Changes that a copy keeps for the watches of other hosts.
+const MAX_CHANGES: usize = 2048;
+
+/// A change of an object in the form in which the store sent it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RawChange {
+    /// Name of the object.
+    pub name: String,
+    /// The object as JSON text; its last state if it was deleted.
+    pub object: String,
+    /// Whether the object was deleted.
+    pub is_deleted: bool,
+    /// Revision of the change.
+    pub revision: u64,
+}
+
+/// All objects of a kind at a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RawListing {
+    /// Objects as JSON text.
+    pub objects: Vec<String>,
+    /// Revision of the store.
+    pub revision: u64,
+}
+
+/// Changes of a kind up to a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RawChanges {
+    /// Changes, oldest first.
+    pub changes: Vec<RawChange>,
+    /// Revision to continue from.
+    pub revision: u64,
+}
+
+/// Why a copy can't be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CopyError {
+    /// This host doesn't read the store itself, or its last call failed.
+    NotCurrent,
+    /// The changes since the requested revision are no longer kept.
+    HistoryGone,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    objects: collections::BTreeMap<String, String>,
+    changes: collections::VecDeque<RawChange>,
+    /// Revision up to which changes are no longer kept.
+    oldest: u64,
+    revision: u64,
+    /// Whether the last call was one to the store itself, and succeeded.
+    is_current: bool,
+}
+
+/// Copy of the objects of one kind.  Only a host that reads the store itself serves it, so that no
+/// host follows one that follows another.
+#[derive(Debug)]
+pub struct StoreCopy {
+    state: sync::watch::Sender<State>,
+}
+
+impl Default for StoreCopy {
+    fn default() -> StoreCopy {
+        StoreCopy {
+            state: sync::watch::Sender::new(State::default()),
+        }
+    }
+}
+
+impl StoreCopy {
+    /// Replaces all objects with a list of names and objects.
+    pub fn replace(&self, objects: Vec<(String, String)>, revision: u64, is_from_store: bool) {
+        self.state.send_modify(|state| {
+            state.objects = objects.into_iter().collect();
+            state.changes.clear();
+            state.oldest = revision;
+            state.revision = revision;
+            state.is_current = is_from_store;
+        });
+    }
+
+    /// Applies the changes that a watch returned.
+    pub fn apply(&self, changes: Vec<RawChange>, revision: u64, is_from_store: bool) {
+        self.state.send_modify(|state| {
+            for change in changes {
+                match change.is_deleted {
+                    true => state.objects.remove(&change.name),
+                    false => state
+                        .objects
+                        .insert(change.name.clone(), change.object.clone()),
+                };
+                state.changes.push_back(change);
+            }
+            while state.changes.len() > MAX_CHANGES {
+                let dropped = state.changes.pop_front();
+                state.oldest = dropped.map_or(state.oldest, |change| change.revision);
+            }
+            state.revision = state.revision.max(revision);
+            state.is_current = is_from_store;
+        });
+    }
+
+    /// Whether the last call was one to the store itself, and succeeded.
+    pub fn is_current(&self) -> bool {
+        self.state.borrow().is_current
+    }
+
+    /// Records that the last call failed or that this host follows another one.
+    pub fn set_not_current(&self) {
+        self.state.send_if_modified(|state| {
+            let was_current = state.is_current;
+            state.is_current = false;
+            was_current
+        });
+    }
+
+    /// Waits until all objects are known, for `wait` at most, and returns them.
+    pub async fn list(&self, wait: time::Duration) -> Result<RawListing, CopyError> {
+        let mut state = self.state.subscribe();
+        let current = state.wait_for(|state| state.is_current);
+        match tokio::time::timeout(wait, current).await {
+            Ok(Ok(state)) => Ok(RawListing {
+                objects: state.objects.values().cloned().collect(),
+                revision: state.revision,
+            }),
+            _ => Err(CopyError::NotCurrent),
+        }
+    }
+
+    /// Waits for changes since a revision, for `wait` at most, and returns them.  A wait without
+    /// changes ends with the newest revision.
+    pub async fn watch(&self, since: u64, wait: time::Duration) -> Result<RawChanges, CopyError> {
+        let mut state = self.state.subscribe();
+        let has_news = |state: &State| !state.is_current || state.revision > since;
+        // After the wait the present state is the answer.
+        let _ = tokio::time::timeout(wait, state.wait_for(has_news)).await;
+        let state = state.borrow();
+        if !state.is_current {
+            return Err(CopyError::NotCurrent);
+        }
+        if since < state.oldest {
+            return Err(CopyError::HistoryGone);
+        }
+        let is_newer = |change: &&RawChange| change.revision > since;
+        Ok(RawChanges {
+            changes: state.changes.iter().filter(is_newer).cloned().collect(),
+            revision: state.revision.max(since),
+        })
+    }
+}
--- a/crates/node/src/gateway/store_state.rs
+++ b/crates/node/src/gateway/store_state.rs
@@ -12,7 +12,7 @@
 
 /// Time within which a pending watch must deliver a change that another host has reported. The
 /// store responds in one round trip, or in 250 ms while it is slow.
-const STALE_WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+pub(super) const STALE_WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
 /// Revision of the newest change of each kind of object that any host has seen.
 pub type NewestRevisions = collections::BTreeMap<String, u64>;
@@ -74,9 +74,18 @@
         });
     }
 
-    /// Waits until another host has seen a change newer than `since` and `STALE_WATCH_TIMEOUT` has
-    /// passed. If the watch has not delivered the change by then, its connection is considered dead.
-    pub(super) async fn wait_until_stale(&self, kind: &str, since: u64) {
+    /// Revision of the newest change of a kind that this host knows of; 0 if there is none.
+    pub fn newest_revision(&self, kind: &str) -> u64 {
+        self.newest_revisions
+            .borrow()
+            .get(kind)
+            .copied()
+            .unwrap_or(0)
+    }
+
+    /// Waits until another host has seen a change newer than `since` and `timeout` has passed. If a
+    /// watch has not delivered the change by then, its connection is considered dead.
+    pub async fn wait_until_stale(&self, kind: &str, since: u64, timeout: time::Duration) {
         let is_newer =
             |newest: &NewestRevisions| newest.get(kind).is_some_and(|seen| *seen > since);
         if self
@@ -86,7 +95,7 @@
             .await
             .is_ok()
         {
-            tokio::time::sleep(STALE_WATCH_TIMEOUT).await;
+            tokio::time::sleep(timeout).await;
         }
     }
 
--- a/crates/node/src/serve/mod.rs
+++ b/crates/node/src/serve/mod.rs
@@ -3,5 +3,5 @@
 mod reply;
 mod server;
 
-pub use reply::{Reply, json, parameter, text};
+pub use reply::{Reply, json, json_text, parameter, text};
 pub use server::Server;
--- a/crates/node/src/serve/reply.rs
+++ b/crates/node/src/serve/reply.rs
@@ -26,8 +26,14 @@
             "the answer has no JSON form",
         );
     };
-    let mut reply = Reply::new(Full::new(Bytes::from(body)));
+    let mut reply = json_text(body);
     *reply.status_mut() = status;
+    reply
+}
+
+/// Successful answer with a body that is JSON already.
+pub fn json_text(body: impl Into<Bytes>) -> Reply {
+    let mut reply = Reply::new(Full::new(body.into()));
     let content_type = http::HeaderValue::from_static("application/json");
     reply
         .headers_mut()
--- a/crates/node/tests/gateway_list_watch.rs
+++ b/crates/node/tests/gateway_list_watch.rs
@@ -5,8 +5,8 @@
 use rstest::rstest;
 use tokio::time;
 use yuccatide_node::gateway::{
-    Change, Freshness, Listing, StoreError, StoreEvent, StoreReader, StoreState, WatchBatch,
-    WatchOptions, list_and_watch,
+    Change, Followed, Freshness, Listing, StoreError, StoreEvent, StoreReader, StoreState,
+    WatchBatch, WatchOptions, list_and_watch,
 };
 
 const OPTIONS: WatchOptions = WatchOptions {
@@ -69,6 +69,7 @@
                     })
                 })
             }),
+            ..unfollowed()
         }
     }
 
@@ -93,6 +94,17 @@
     }
 }
 
+/// Calls of a host that reads the store itself; its list and watch never end.
+fn unfollowed() -> StoreReader<u64> {
+    StoreReader {
+        list: Box::new(|_| Box::pin(std::future::pending())),
+        watch: Box::new(|_| Box::pin(std::future::pending())),
+        follow_list: Box::new(|| Box::pin(async { Followed::NoSource })),
+        follow: Box::new(|_| Box::pin(async { Followed::NoSource })),
+        copy: sync::Arc::default(),
+    }
+}
+
 /// Watches three kinds for `duration`; counts how often each was told that the store is available.
 async fn watch_three_kinds(
     store: &sync::Arc<Store>,
@@ -237,6 +249,7 @@
                 })
             })
         }),
+        ..unfollowed()
     };
     let failing = StoreReader {
         list: Box::new(move |_| {
@@ -251,6 +264,7 @@
             })
         }),
         watch: Box::new(|_| Box::pin(std::future::pending())),
+        ..unfollowed()
     };
     let is_back = sync::Arc::new(atomic::AtomicBool::new(false));
     let set_back = is_back.clone();
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -10,11 +10,22 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
+use super::store_readers;
 use crate::model;
 
 /// Interval between heartbeats within a data centre.
 pub const HEARTBEAT_INTERVAL: time::Duration = time::Duration::from_millis(40);
 
+/// Interval between introductions to the seeds.
+const INTRODUCTION_INTERVAL: time::Duration = time::Duration::from_millis(400);
+
+/// Time after the start of a host for which it introduces itself to the seeds.
+const INTRODUCTION_TIME: time::Duration = time::Duration::from_millis(2400);
+
+/// Other hosts of the data centre named in a heartbeat, so that hosts which know only some of them
+/// learn of the rest.
+const CONTACTS_PER_HEARTBEAT: usize = 2;
+
 /// Interval between summaries to other data centres.
 pub const SUMMARY_INTERVAL: time::Duration = time::Duration::from_millis(1000);
 
@@ -66,6 +77,8 @@
     pub shares: Vec<LookupShares>,
     /// Newest known revision of each kind of object in the store.
     pub newest: collections::BTreeMap<String, u64>,
+    /// Some other live hosts of its data centre, in turn.
+    pub contacts: Vec<Member>,
 }
 
 /// Demand for one service from the callers of one data centre, for routes that are restricted to
@@ -124,6 +137,10 @@
         /// Whether the receiver forwards it to the other hosts of its data centre.
         relay: bool,
     },
+    /// A host that has just started and asks for the hosts of its data centre.
+    Introduction(Member),
+    /// Hosts of the receiver's data centre, in response to an introduction.
+    Contacts(Vec<Member>),
 }
 
 /// A message and the hosts that it goes to.
@@ -145,6 +162,13 @@
 #[derive(Debug)]
 pub struct Members {
     own: Member,
+    /// Addresses of hosts in the settings; these hosts may be down or replaced.
+    seeds: Vec<net::SocketAddr>,
+    last_introduction: Option<model::Time>,
+    /// Whether a seed has named the hosts of the own data centre.
+    is_introduced: bool,
+    /// Live host that was named last in a heartbeat.
+    last_contact: Option<model::HostId>,
     known: collections::BTreeMap<model::HostId, Member>,
     heartbeats: collections::BTreeMap<model::HostId, Received<Heartbeat>>,
     summaries: collections::BTreeMap<model::DataCentreId, Received<Summary>>,
@@ -162,6 +186,10 @@
         let known = [(own.host.clone(), own.clone())].into();
         Members {
             own,
+            seeds: Vec::new(),
+            last_introduction: None,
+            is_introduced: false,
+            last_contact: None,
             known,
             heartbeats: collections::BTreeMap::new(),
             summaries: collections::BTreeMap::new(),
@@ -171,6 +199,12 @@
         }
     }
 
+    /// Sets the addresses of hosts in the settings.
+    pub fn with_seeds(mut self, seeds: Vec<net::SocketAddr>) -> Members {
+        self.seeds = seeds;
+        self
+    }
+
     /// Returns the own host.
     pub fn own(&self) -> &Member {
         &self.own
@@ -183,6 +217,11 @@
         }
     }
 
+    /// Adds a host that another one has named; what a host says of itself goes before it.
+    fn learn(&mut self, member: Member) {
+        self.known.entry(member.host.clone()).or_insert(member);
+    }
+
     /// Handles a message; returns the message to forward, if any.
     pub fn receive(&mut self, message: Message, now: model::Time) -> Option<Outgoing> {
         match message {
@@ -191,6 +230,12 @@
                 None
             }
             Message::Summary { summary, relay } => self.handle_summary(summary, relay, now),
+            Message::Introduction(member) => self.handle_introduction(member),
+            Message::Contacts(members) => {
+                self.is_introduced = true;
+                members.into_iter().for_each(|member| self.learn(member));
+                None
+            }
         }
     }
 
@@ -201,6 +246,8 @@
             return;
         }
         self.upsert(heartbeat.member.clone());
+        let contacts = heartbeat.contacts.iter().cloned();
+        contacts.for_each(|member| self.learn(member));
         self.heartbeats.insert(
             heartbeat.member.host.clone(),
             Received {
@@ -241,6 +288,80 @@
         })
     }
 
+    fn handle_introduction(&mut self, member: Member) -> Option<Outgoing> {
+        if member.host == self.own.host {
+            return None;
+        }
+        self.upsert(member.clone());
+        let contacts = self
+            .known
+            .values()
+            .filter(|known| known.data_centre == member.data_centre && known.host != member.host);
+        Some(Outgoing {
+            to: vec![member.peers],
+            message: Message::Contacts(contacts.cloned().collect()),
+        })
+    }
+
+    /// Returns the introduction to the seeds if one is due: at short intervals after the start of
+    /// the host at `started`, and for as long as no other host is heard of.
+    pub fn introduction_to_send(
+        &mut self,
+        started: model::Time,
+        now: model::Time,
+    ) -> Option<Outgoing> {
+        let is_alone =
+            self.live_heartbeats(now).next().is_none() && self.live_summaries(now).next().is_none();
+        let is_due = self
+            .last_introduction
+            .is_none_or(|last| now >= last + INTRODUCTION_INTERVAL);
+        if !is_due || !(is_alone || now < started + INTRODUCTION_TIME) {
+            return None;
+        }
+        self.last_introduction = Some(now);
+        let own = self.own.peers;
+        Some(Outgoing {
+            to: self.seeds.iter().copied().filter(|s| *s != own).collect(),
+            message: Message::Introduction(self.own.clone()),
+        })
+    }
+
+    /// Whether a seed has named the hosts of the own data centre, and one of them is live or there
+    /// is no other.
+    pub fn is_introduced(&self, now: model::Time) -> bool {
+        let is_heard = self.live_heartbeats(now).next().is_some();
+        self.is_introduced && (is_heard || self.local_peers().next().is_none())
+    }
+
+    /// Live hosts of the own data centre to name in the next heartbeat, in turn.
+    pub fn contacts_to_send(&mut self, now: model::Time) -> Vec<Member> {
+        let live: Vec<&Member> = self
+            .live_heartbeats(now)
+            .map(|heartbeat| &heartbeat.member)
+            .collect();
+        let contacts: Vec<Member> = next_in_turn(&live, &self.last_contact, CONTACTS_PER_HEARTBEAT)
+            .into_iter()
+            .cloned()
+            .collect();
+        self.last_contact = contacts.last().map(|member| member.host.clone());
+        contacts
+    }
+
+    /// Addresses of the hosts that this one reads the store from, preferred first; none if it
+    /// reads the store itself.
+    pub fn store_sources(&self, now: model::Time) -> Vec<net::SocketAddr> {
+        let live: Vec<&Member> = self
+            .live_heartbeats(now)
+            .map(|heartbeat| &heartbeat.member)
+            .collect();
+        let names = live.iter().map(|member| member.host.as_str());
+        store_readers::sources(&self.own.host, names.chain([self.own.host.as_str()]))
+            .iter()
+            .filter_map(|host| live.iter().find(|member| member.host == *host))
+            .map(|member| member.peers)
+            .collect()
+    }
+
     /// Returns the addresses of the other hosts of the own data centre that get a heartbeat in this
     /// interval: the live ones in turn, and silent ones with the sends that are left, at least one.
     pub fn heartbeat_recipients(&mut self, now: model::Time) -> Vec<net::SocketAddr> {
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 mod server;
 mod server_set;
 mod service_times;
+mod store_readers;
 mod target_shares;
 mod traffic_splitter;
 
@@ -36,4 +37,5 @@
 pub use server::{Server, ServerEntry, ServerState};
 pub use server_set::{ServerIndex, ServerSet};
 pub use service_times::ServiceTimeEstimates;
+pub use store_readers::sources as store_sources;
 pub use traffic_splitter::TrafficSplitter;
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -10,3 +10,4 @@
 mod retry_budget;
 mod routes;
 mod server_set;
+mod store_readers;
--- a/crates/steering/tests/gateway/members.rs
+++ b/crates/steering/tests/gateway/members.rs
@@ -69,6 +69,7 @@
                     blocks: Vec::new(),
                     shares: Vec::new(),
                     newest: Default::default(),
+                    contacts: Vec::new(),
                 };
                 let summary = (now_ms % 480 == 0)
                     .then(|| host.summary_to_send(&heartbeat, ms(now_ms)))
@@ -188,6 +189,7 @@
         blocks: Vec::new(),
         shares: Vec::new(),
         newest: Default::default(),
+        contacts: Vec::new(),
     };
     members.receive(gateway::Message::Heartbeat(heartbeat), ms(0));
     assert_eq!(members.ready_members("a1", true, ms(1)).len(), 2);
