Refuse what was not sent, and break off bodies without end

Causes: a request counted as in progress at a server from the choice of the server on, so that a deadline which passed while the connection was being opened was answered with 504, after which a client may not send a request again that must run once. A response whose body never ended was passed on for as long as both sides stayed open.

Changes: a request counts as sent when a connection is there. A body that is passed on while it arrives is broken off at the request's deadline, and its client sees that it is not complete.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to run a request on a backend server.
 
-use std::time;
+use std::{sync::atomic, time};
 
 use http::header;
 use yuccatide_steering::{gateway as decisions, matching};
@@ -42,6 +42,8 @@
     pub(super) index: decisions::ServerIndex,
     pub(super) entry: &'a decisions::ServerEntry,
     pub(super) ticket: decisions::Ticket,
+    /// Set as soon as the backend server may receive the request.
+    pub(super) is_sent: &'a atomic::AtomicBool,
 }
 
 /// A valid response of a backend server and the outcome that it stands for.
@@ -73,6 +75,7 @@
         gateway,
         connection_id,
     };
+    attempt.is_sent.store(true, atomic::Ordering::Relaxed);
     let response = connection.send(req).await?;
     let (head, incoming) = response.into_parts();
     let keep_alive = keep_alive_timeout(&head.headers);
@@ -102,7 +105,12 @@
             }
             let outcome = classify(gateway, &head)?;
             drop(unregister_guard);
-            let body = body::prefixed(bytes, rest, connection);
+            let left = attempt
+                .client_req
+                .req
+                .deadline
+                .saturating_sub(gateway.clock.now());
+            let body = body::prefixed_until(bytes, rest, connection, left);
             Ok(ServerResponse {
                 response: client_response(head, body),
                 outcome,
--- a/crates/node/src/gateway/body.rs
+++ b/crates/node/src/gateway/body.rs
@@ -1,6 +1,6 @@
 //! HTTP bodies: buffered up to a size and streamed beyond it.
 
-use std::{error, pin, task};
+use std::{error, future::Future, io, pin, task, time};
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Full, combinators};
@@ -48,6 +48,24 @@
     PrefixedBody {
         start: Some(start),
         rest,
+        end: None,
+        _guard: guard,
+    }
+    .boxed_unsync()
+}
+
+/// The same, broken off after `left`: a backend server that sends bytes without end must not hold
+/// a connection and its client for longer than the client waits.
+pub(super) fn prefixed_until<T: Send + Unpin + 'static>(
+    start: Bytes,
+    rest: body::Incoming,
+    guard: T,
+    left: time::Duration,
+) -> Body {
+    PrefixedBody {
+        start: Some(start),
+        rest,
+        end: Some(Box::pin(tokio::time::sleep(left))),
         _guard: guard,
     }
     .boxed_unsync()
@@ -56,6 +74,8 @@
 struct PrefixedBody<T> {
     start: Option<Bytes>,
     rest: body::Incoming,
+    /// Time at which the body is broken off.
+    end: Option<pin::Pin<Box<tokio::time::Sleep>>>,
     _guard: T,
 }
 
@@ -70,6 +90,13 @@
         if let Some(start) = self.start.take() {
             return task::Poll::Ready(Some(Ok(body::Frame::data(start))));
         }
+        if let Some(end) = &mut self.end
+            && end.as_mut().poll(cx).is_ready()
+        {
+            log::warn!("a backend server's body did not end before the deadline; broken off");
+            let e = io::Error::new(io::ErrorKind::TimedOut, "no end of the body in time");
+            return task::Poll::Ready(Some(Err(e.into())));
+        }
         pin::Pin::new(&mut self.rest)
             .poll_frame(cx)
             .map_err(Into::into)
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -1,6 +1,6 @@
 //! Forwards a client's request to a backend server and returns the response.
 
-use std::{net, sync, time};
+use std::{net, sync, sync::atomic, time};
 
 use http::header;
 use tokio::sync::oneshot;
@@ -208,7 +208,7 @@
         // `waited_ms` is the time that was left until the deadline when serving began.
         log::warn!(
             request = id, route = route.name,
-            may_have_run = progress.may_have_run || progress.attempt_in_progress,
+            may_have_run = progress.may_have_run(),
             arrivals = progress.arrivals, waited_ms = left.as_millis() as u64, omitted;
             "request deadline exceeded"
         );
@@ -217,7 +217,7 @@
 }
 
 fn timeout_response(progress: &Progress) -> response::Response {
-    match progress.may_have_run || progress.attempt_in_progress {
+    match progress.may_have_run() {
         true => response::text(http::StatusCode::GATEWAY_TIMEOUT, "timeout"),
         false => response::refusal(decisions::Reason::Overload, DEFAULT_RETRY_AFTER),
     }
@@ -226,16 +226,23 @@
 /// Progress of a request.
 #[derive(Default)]
 struct Progress {
-    /// Whether a backend server may have run the request.
-    may_have_run: bool,
-    /// Whether an attempt is in progress.
-    attempt_in_progress: bool,
+    /// Whether a backend server may have run the request in an attempt that has ended.
+    has_maybe_run: bool,
+    /// Whether an attempt is in progress that a backend server may have received.
+    is_attempt_sent: atomic::AtomicBool,
     /// Number of backend servers that received the request.
     arrivals: u32,
     /// Last failure response of a backend server, returned if no other attempt does better.
     failure: Option<response::Response>,
 }
 
+impl Progress {
+    /// Whether a backend server may have run the request.
+    fn may_have_run(&self) -> bool {
+        self.has_maybe_run || self.is_attempt_sent.load(atomic::Ordering::Relaxed)
+    }
+}
+
 /// Sends a request to backend servers until one responds or no further attempt is allowed.
 async fn send_with_retries(
     gateway: &gateway::Gateway,
@@ -281,10 +288,12 @@
             index,
             entry: &entry,
             ticket: guard.ticket,
+            is_sent: &progress.is_attempt_sent,
         };
-        progress.attempt_in_progress = true;
         let result = attempt::send(&attempt, body).await;
-        progress.attempt_in_progress = false;
+        progress
+            .is_attempt_sent
+            .store(false, atomic::Ordering::Relaxed);
         guard.disarm();
         let (outcome, load) = match &result {
             Ok(received) => (
@@ -295,7 +304,7 @@
         };
         gateway.finish_attempt(guard.ticket, outcome, load);
         progress.arrivals += u32::from(outcome.reached_server());
-        progress.may_have_run |= !outcome.was_not_executed();
+        progress.has_maybe_run |= !outcome.was_not_executed();
         log_failed_attempt(
             gateway,
             &client_req,
@@ -343,7 +352,7 @@
     if let Some(failure) = progress.failure.take() {
         return failure;
     }
-    match progress.may_have_run {
+    match progress.has_maybe_run {
         true => response::text(http::StatusCode::BAD_GATEWAY, "the outcome is not known"),
         false => refuse(gateway, client_req, reason, retry_after),
     }
