Keep one copy of an object where caches can't hold two

Each object was served in four to five of six data centres and a server saw up to 95 objects in 14 s, of which it keeps 45. Two parts of the decisions fed that: misses at a server that was assumed to have the object were counted as slow hits, which raised the estimated demand and spread callers over more data centres; and a second server loaded an object as soon as the first had a short queue.

Change: the duration of a request tells whether it was a miss; additional loading at a server that isn't the preferred one weighs four times.

--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -57,8 +57,6 @@
 struct Attempt {
     server: server_set::ServerIndex,
     req: request::Request,
-    /// Whether the object was assumed to be cached at the backend server.
-    was_cached: bool,
 }
 
 /// Queues requests for backend servers and tracks the attempts in progress.
@@ -362,9 +360,6 @@
     ) -> Option<server::ServerEntry> {
         let interval = self.cold_interval(&self.servers.get(choice.server)?.entry, local_hosts);
         let server = self.servers.get_mut(choice.server)?;
-        let was_cached = req
-            .object_hash
-            .is_some_and(|object| server.has_cached(object));
         if req.tried_servers.is_empty()
             && let Some(fairness) = self.fairness.get_mut(&req.service)
         {
@@ -379,14 +374,7 @@
         );
         let entry = server.entry.clone();
         let server = choice.server;
-        self.attempts.insert(
-            ticket,
-            Attempt {
-                server,
-                req,
-                was_cached,
-            },
-        );
+        self.attempts.insert(ticket, Attempt { server, req });
         Some(entry)
     }
 }
@@ -400,19 +388,13 @@
     duration: time::Duration,
     now: model::Time,
 ) {
-    let route = &attempt.req.route;
-    let (cached, uncached) = (
-        times.expected_seconds(route, true),
-        times.expected_seconds(route, false),
-    );
-    let relative_time = server.relative_service_time();
-    let seconds = duration.as_secs_f64();
-    // A request of another host may have loaded the object into the cache: a service time below the
-    // geometric mean of both estimates counts as that of a cached object.
-    let is_cached = attempt.was_cached || seconds / relative_time < (cached * uncached).sqrt();
     if server.is_cold(now) {
         return;
     }
-    server.observe(seconds / if is_cached { cached } else { uncached });
+    let route = &attempt.req.route;
+    let relative_time = server.relative_service_time();
+    let is_cached = times.was_cached(route, duration, relative_time);
+    let expected = times.expected_seconds(route, is_cached);
+    server.observe(duration.as_secs_f64() / expected);
     times.observe(&route.name, is_cached, duration, relative_time);
 }
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -15,8 +15,9 @@
 const FAILURE_WEIGHT: f64 = 4.0;
 
 /// Weight of the additional service time at a backend server that is not the preferred one and does
-/// not have the object cached: loading it takes slots from other requests and evicts other objects.
-const EXTRA_UNCACHED_TIME_WEIGHT: f64 = 1.0;
+/// not have the object cached.  Loading it takes a slot from other requests, and evicts an object
+/// whose next requests take longer and load it somewhere again.
+const EXTRA_UNCACHED_TIME_WEIGHT: f64 = 4.0;
 
 /// Largest number of backend servers in a data centre that get requests for one object: each of
 /// them loads the object into its cache and evicts others.
--- a/crates/steering/src/gateway/service_times.rs
+++ b/crates/steering/src/gateway/service_times.rs
@@ -50,6 +50,25 @@
         *mean = Some(mean.map_or(seconds, |mean| mean + SMOOTHING_FACTOR * (seconds - mean)));
     }
 
+    /// Whether a request that took `duration` found its object cached.
+    ///
+    /// The duration decides, not where the object was assumed to be: backend servers that have too
+    /// many objects evict some that are assumed to be cached, and other hosts load some that are
+    /// not.  Counted as cached, the misses would raise the estimated demand, which spreads callers
+    /// over more data centres and causes further misses.
+    pub fn was_cached(
+        &self,
+        route: &policy::Route,
+        duration: time::Duration,
+        relative_time: f64,
+    ) -> bool {
+        let (cached, uncached) = (
+            self.expected_seconds(route, true),
+            self.expected_seconds(route, false),
+        );
+        duration.as_secs_f64() / relative_time < (cached * uncached).sqrt()
+    }
+
     /// Expected service time in seconds at a backend server with a relative service time of 1.
     pub fn expected_seconds(&self, route: &policy::Route, is_cached: bool) -> f64 {
         let objective = route.objective.as_secs_f64().max(MIN_SECONDS);
--- a/crates/steering/tests/gateway/dispatcher.rs
+++ b/crates/steering/tests/gateway/dispatcher.rs
@@ -41,6 +41,30 @@
     assert_eq!(servers.len(), 1, "{servers:?}");
 }
 
+/// Servers in demand for more objects than they keep: each copy of an object at a second server
+/// evicts another object there, so a queue of a few requests does not justify one.
+#[test]
+fn a_short_queue_does_not_load_the_object_at_a_second_server() {
+    let mut dispatcher = dispatcher_with_servers(2, 1);
+    for _ in 0..3 {
+        dispatcher.submit(fixtures::request(fixtures::route("r"), 7, ms(0)));
+    }
+    let first = sent(&dispatcher.decide(1, ms(0)));
+    assert_eq!(first.len(), 1, "{first:?}");
+    // A queue of many other requests does.
+    let is_preferred = |(_, s): &(_, &gateway::Server)| s.entry.id == first[0].1;
+    let hash = dispatcher
+        .servers
+        .iter()
+        .find(is_preferred)
+        .unwrap()
+        .1
+        .name_hash;
+    dispatcher.remote_in_flight.update("other", &[(hash, 12)]);
+    let second = sent(&dispatcher.decide(2, ms(1)));
+    assert_ne!(second[0].1, first[0].1);
+}
+
 #[test]
 fn requests_for_one_object_use_at_most_two_servers_under_overload() {
     let mut dispatcher = dispatcher_with_servers(6, 2);
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -10,4 +10,5 @@
 mod retry_budget;
 mod routes;
 mod server_set;
+mod service_times;
 mod store_readers;
