--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -69,7 +69,7 @@
     Read(T),
     /// No host to read from could answer, or this host reads the store itself.
     NoSource,
-    /// All hosts to read from answered that the store fails for them.
+    /// No host to read from could answer, and one of them answered that the store fails for it.
     StoreFailed,
 }
 
