Log what becomes of deleted entries and what cold servers get

Adds the two lines with the time for which an entry was missing, the gauge missing_servers, the histogram send_delay_seconds, and a line and a counter for sends to cold servers with the hosts that the rate is divided by.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -3,7 +3,7 @@
 use std::{sync::atomic, time};
 
 use http::header;
-use yuccatide_steering::{gateway as decisions, matching};
+use yuccatide_steering::{gateway as decisions, matching, model};
 
 use super::{body, error, forward, gateway, header_names, response};
 
@@ -42,6 +42,8 @@
     pub(super) index: decisions::ServerIndex,
     pub(super) entry: &'a decisions::ServerEntry,
     pub(super) ticket: decisions::Ticket,
+    /// Time of the choice of the backend server.
+    pub(super) chosen_at: model::Time,
     /// Set as soon as the backend server may receive the request.
     pub(super) is_sent: &'a atomic::AtomicBool,
 }
@@ -75,6 +77,8 @@
         gateway,
         connection_id,
     };
+    let delay = gateway.clock.now().saturating_sub(attempt.chosen_at);
+    gateway.metrics.send_delay.observe(delay.as_secs_f64());
     attempt.is_sent.store(true, atomic::Ordering::Relaxed);
     let response = connection.send(req).await?;
     let (head, incoming) = response.into_parts();
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -32,7 +32,7 @@
     fn submit(
         gateway: &'a gateway::Gateway,
         client_req: &ClientRequest,
-    ) -> (AbandonGuard<'a>, oneshot::Receiver<decisions::Decision>) {
+    ) -> (AbandonGuard<'a>, oneshot::Receiver<gateway::TimedDecision>) {
         let (ticket, rx) = gateway.submit(client_req.req.clone());
         let guard = AbandonGuard {
             gateway,
@@ -264,19 +264,19 @@
     let is_body_buffered = rest.is_none();
     loop {
         let (mut guard, rx) = AbandonGuard::submit(gateway, &client_req);
-        let (index, entry) = match rx.await {
-            Ok(decisions::Decision::Send(index, entry)) => (index, entry),
-            Ok(decisions::Decision::Refuse {
+        let Ok(gateway::TimedDecision { decision, at }) = rx.await else {
+            let reason = decisions::Reason::Stopping;
+            return give_up(gateway, &client_req, progress, reason, time::Duration::ZERO);
+        };
+        let (index, entry) = match decision {
+            decisions::Decision::Send(index, entry) => (index, entry),
+            decisions::Decision::Refuse {
                 reason,
                 retry_after,
-            }) => {
+            } => {
                 guard.disarm();
                 return give_up(gateway, &client_req, progress, reason, retry_after);
             }
-            Err(_) => {
-                let reason = decisions::Reason::Stopping;
-                return give_up(gateway, &client_req, progress, reason, time::Duration::ZERO);
-            }
         };
         let body = match rest.take() {
             None => body::full(bytes.clone()),
@@ -288,6 +288,7 @@
             index,
             entry: &entry,
             ticket: guard.ticket,
+            chosen_at: at,
             is_sent: &progress.is_attempt_sent,
         };
         let result = attempt::send(&attempt, body).await;
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -54,6 +54,12 @@
     state: sync::Mutex<State>,
 }
 
+/// A decision on a request, and when it was made.
+pub(super) struct TimedDecision {
+    pub(super) decision: decisions::Decision,
+    pub(super) at: model::Time,
+}
+
 struct State {
     route_table: decisions::RouteTable,
     traffic_splitter: decisions::TrafficSplitter,
@@ -63,7 +69,7 @@
     demand: demand::DemandEstimator,
     client_retries: decisions::ClientRetryDetector,
     pending_attempts: matching::PendingAttempts,
-    decision_senders: collections::HashMap<decisions::Ticket, oneshot::Sender<decisions::Decision>>,
+    decision_senders: collections::HashMap<decisions::Ticket, oneshot::Sender<TimedDecision>>,
     is_stopping: bool,
 }
 
@@ -117,7 +123,12 @@
         let mut state = self.lock();
         match update {
             update::Update::Policy(policy) => state.apply_policy(policy),
-            update::Update::Servers(entries) => state.dispatcher.servers.replace(entries, now),
+            update::Update::Servers(entries) => {
+                let missing = state.dispatcher.servers.replace(entries, now);
+                missing
+                    .iter()
+                    .for_each(|(id, removal)| self.log_removal(id, *removal));
+            }
             update::Update::Server(entry) => {
                 log::info!(
                     server = entry.id, service = entry.service,
@@ -127,8 +138,8 @@
                 state.dispatcher.servers.upsert(entry, now);
             }
             update::Update::ServerRemoved(id) => {
-                log::info!(server = id; "backend server entry deleted or invalid");
-                state.dispatcher.servers.remove(&id, now);
+                let removal = state.dispatcher.servers.remove(&id, now);
+                self.log_removal(&id, removal);
             }
             update::Update::EvacuatedDataCentres(data_centres) => {
                 if *state.dispatcher.servers.evacuated() != data_centres {
@@ -160,7 +171,12 @@
             tick.tick().await;
             let now = self.clock.now();
             let mut state = self.lock();
-            state.dispatcher.servers.remove_missing(now);
+            for (id, missing) in state.dispatcher.servers.remove_missing(now) {
+                log::info!(
+                    server = id, missing_ms = missing.as_millis() as u64;
+                    "backend server did not register again; removed"
+                );
+            }
             state.drop_dead_in_flight(now);
             if last_sample.elapsed() >= demand::SAMPLE_INTERVAL {
                 last_sample = time::Instant::now();
@@ -365,7 +381,7 @@
     pub(super) fn submit(
         &self,
         req: decisions::Request,
-    ) -> (decisions::Ticket, oneshot::Receiver<decisions::Decision>) {
+    ) -> (decisions::Ticket, oneshot::Receiver<TimedDecision>) {
         let now = self.clock.now();
         let (tx, rx) = oneshot::channel();
         let mut state = self.lock();
@@ -439,8 +455,10 @@
             .dispatcher
             .set_host_count(state.members.known_host_count());
         for (ticket, decision) in state.dispatcher.decide(live_hosts, now) {
+            self.log_cold_send(state, &decision, live_hosts, now);
+            let timed = TimedDecision { decision, at: now };
             if let Some(tx) = state.decision_senders.remove(&ticket)
-                && tx.send(decision).is_err()
+                && tx.send(timed).is_err()
             {
                 // The client disconnected before the decision; free the slot.
                 state.dispatcher.abandon(ticket, now);
@@ -448,6 +466,47 @@
         }
     }
 
+    /// Logs and counts a request that goes to a cold backend server, with the number of hosts that
+    /// this one divides the server's rate by.
+    fn log_cold_send(
+        &self,
+        state: &State,
+        decision: &decisions::Decision,
+        live_hosts: usize,
+        now: model::Time,
+    ) {
+        let decisions::Decision::Send(index, entry) = decision else {
+            return;
+        };
+        let server = state.dispatcher.servers.get(*index);
+        let Some(warm_in) = server.and_then(|server| server.warm_in(now)) else {
+            return;
+        };
+        self.metrics.cold_attempts.inc();
+        if let Some(omitted) = self.admit_log_line("cold") {
+            log::info!(
+                server = entry.id, warm_in_ms = warm_in.as_millis() as u64, live_hosts,
+                known_hosts = state.members.known_host_count(), omitted;
+                "request sent to a cold backend server"
+            );
+        }
+    }
+
+    fn log_removal(&self, id: &str, removal: decisions::Removal) {
+        match removal {
+            decisions::Removal::Unknown => {}
+            decisions::Removal::Removed => {
+                log::info!(server = id; "backend server entry deleted or invalid; removed");
+            }
+            decisions::Removal::Deferred => {
+                log::info!(
+                    server = id;
+                    "backend server entry deleted or invalid; kept until it had time to register again"
+                );
+            }
+        }
+    }
+
     fn update_gauges(&self, state: &State, now: model::Time) {
         let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
         let servers = &state.dispatcher.servers;
@@ -467,6 +526,8 @@
             .set(count(state.members.live_host_count(now)));
         self.metrics.servers.set(count(servers.len()));
         self.metrics.usable_servers.set(count(usable));
+        let missing = servers.iter().filter(|(_, server)| server.is_missing());
+        self.metrics.missing_servers.set(count(missing.count()));
         self.metrics
             .store_answers
             .set(i64::from(servers.is_store_available()));
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -19,6 +19,10 @@
 /// client waits.
 const LATENCY_BUCKETS_S: [f64; 11] = [0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0];
 
+/// Upper bounds of the buckets of the time between the choice of a backend server and the sending,
+/// from no wait at all to the time-out of a connection attempt and beyond it.
+const SEND_DELAY_BUCKETS_S: [f64; 7] = [0.001, 0.005, 0.02, 0.1, 0.4, 1.0, 2.0];
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RequestLabels {
     route: String,
@@ -65,7 +69,10 @@
     pub(super) hosts: gauge::Gauge,
     pub(super) servers: gauge::Gauge,
     pub(super) usable_servers: gauge::Gauge,
+    pub(super) missing_servers: gauge::Gauge,
     pub(super) store_answers: gauge::Gauge,
+    pub(super) send_delay: histogram::Histogram,
+    pub(super) cold_attempts: counter::Counter,
     pub(super) omitted_lines: counter::Counter,
 }
 
@@ -87,6 +94,9 @@
             hosts: gauge::Gauge::default(),
             servers: gauge::Gauge::default(),
             usable_servers: gauge::Gauge::default(),
+            missing_servers: gauge::Gauge::default(),
+            send_delay: histogram::Histogram::new(SEND_DELAY_BUCKETS_S),
+            cold_attempts: counter::Counter::default(),
             store_answers: gauge::Gauge::default(),
             omitted_lines: counter::Counter::default(),
         };
@@ -144,6 +154,21 @@
             "Backend servers that may be given requests",
             usable,
         );
+        registry.register(
+            "missing_servers",
+            "Backend servers without an entry, kept until they had time to register again",
+            self.missing_servers.clone(),
+        );
+        registry.register(
+            "send_delay_seconds",
+            "Time from the choice of a backend server until the request is sent to it",
+            self.send_delay.clone(),
+        );
+        registry.register(
+            "cold_sendings",
+            "Sendings to backend servers that are cold",
+            self.cold_attempts.clone(),
+        );
         registry.register(
             "store_answers",
             "Whether the store answers",
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -35,7 +35,7 @@
 pub use retry_budget::RetryBudget;
 pub use route_table::{RouteMatch, RouteTable};
 pub use server::{Server, ServerEntry, ServerState};
-pub use server_set::{ServerIndex, ServerSet};
+pub use server_set::{Removal, ServerIndex, ServerSet};
 pub use service_times::ServiceTimeEstimates;
 pub use store_readers::sources as store_sources;
 pub use traffic_splitter::TrafficSplitter;
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -150,11 +150,23 @@
         self.entry.state == ServerState::Ready && !self.is_evacuated && now >= self.ejected_until
     }
 
+    /// Whether its entry is missing from the store and it is kept until it had time to register
+    /// again.
+    pub fn is_missing(&self) -> bool {
+        self.missing_since.is_some()
+    }
+
     /// Whether it is still warming up.
     pub fn is_cold(&self, now: model::Time) -> bool {
         now < self.cold_until
     }
 
+    /// Time until a cold backend server is warm; `None` if it is warm.
+    pub fn warm_in(&self, now: model::Time) -> Option<time::Duration> {
+        self.is_cold(now)
+            .then(|| self.cold_until.saturating_sub(now))
+    }
+
     /// Time until a cold backend server may get its next request from this host.
     pub fn cold_wait(&self, now: model::Time) -> time::Duration {
         match self.is_cold(now) {
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -13,6 +13,17 @@
 /// added.
 const REREGISTRATION_GRACE: time::Duration = time::Duration::from_millis(2300);
 
+/// What became of a backend server whose entry was deleted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Removal {
+    /// It was not known.
+    Unknown,
+    /// It is kept until it had time to register again.
+    Deferred,
+    /// It was removed.
+    Removed,
+}
+
 /// Backend servers of one service, by data centre.
 type Groups = collections::BTreeMap<model::DataCentreId, Vec<ServerIndex>>;
 
@@ -56,21 +67,27 @@
 
     /// Handles a deleted entry.  During an outage of the store the entries of running backend
     /// servers expire too, so the removal is deferred until they had time to register again.
-    pub fn remove(&mut self, id: &str, now: model::Time) {
+    pub fn remove(&mut self, id: &str, now: model::Time) -> Removal {
         let Some(index) = self.indices.get(id).copied() else {
-            return;
+            return Removal::Unknown;
         };
         if self.defers_removal(now) {
             if let Some(server) = self.servers.get_mut(&index) {
                 server.missing_since.get_or_insert(now);
             }
-            return;
+            return Removal::Deferred;
         }
         self.delete(index);
+        Removal::Removed
     }
 
-    /// Applies the complete list of registered backend servers.
-    pub fn replace(&mut self, entries: Vec<server::ServerEntry>, now: model::Time) {
+    /// Applies the complete list of registered backend servers.  Returns those that it lacks, with
+    /// what became of them.
+    pub fn replace(
+        &mut self,
+        entries: Vec<server::ServerEntry>,
+        now: model::Time,
+    ) -> Vec<(model::ServerId, Removal)> {
         let registered: collections::HashSet<model::ServerId> =
             entries.iter().map(|entry| entry.id.clone()).collect();
         entries
@@ -82,7 +99,13 @@
             .filter(|id| !registered.contains(*id))
             .cloned()
             .collect();
-        missing.iter().for_each(|id| self.remove(id, now));
+        missing
+            .into_iter()
+            .map(|id| {
+                let removal = self.remove(&id, now);
+                (id, removal)
+            })
+            .collect()
     }
 
     /// Records whether the store responds; returns whether that changed.
@@ -100,18 +123,25 @@
         !self.is_store_down
     }
 
-    /// Removes the backend servers that did not register again after an outage of the store.
-    pub fn remove_missing(&mut self, now: model::Time) {
+    /// Removes the backend servers that did not register again after an outage of the store, and
+    /// returns them with the time for which their entries were missing.
+    pub fn remove_missing(&mut self, now: model::Time) -> Vec<(model::ServerId, time::Duration)> {
         if self.defers_removal(now) {
-            return;
+            return Vec::new();
         }
-        let gone: Vec<ServerIndex> = self
+        let gone: Vec<(ServerIndex, model::ServerId, model::Time)> = self
             .servers
             .iter()
-            .filter(|(_, server)| server.missing_since.is_some())
-            .map(|(index, _)| *index)
+            .filter_map(|(index, server)| {
+                Some((*index, server.entry.id.clone(), server.missing_since?))
+            })
             .collect();
-        gone.into_iter().for_each(|index| self.delete(index));
+        gone.into_iter()
+            .map(|(index, id, since)| {
+                self.delete(index);
+                (id, now.saturating_sub(since))
+            })
+            .collect()
     }
 
     /// Sets the data centres that must get no requests.  Backend servers in a data centre that is
