Reproduce requests to servers that left (DRAIN)

The first is the smallest form: a success at 5.30 s, a failure at 6.99 s, a success at 7.28 s whose list lacks a server; it is kept (seen: not empty).

--- a/crates/steering/tests/gateway/server_set.rs
+++ b/crates/steering/tests/gateway/server_set.rs
@@ -53,6 +53,19 @@
     assert!(servers.is_empty());
 }
 
+/// Guards against requests to servers that left while their host changed the source of its copy of
+/// the store: a failure that is over before any entry can lapse keeps no deleted entry.
+#[test]
+fn an_entry_deleted_around_a_short_failure_of_the_store_is_removed_at_once() {
+    let mut servers = gateway::ServerSet::default();
+    servers.set_store_available(true, ms(5300));
+    servers.upsert(fixtures::entry("s1", "a1", 4), ms(5300));
+    servers.set_store_available(false, ms(6990));
+    servers.set_store_available(true, ms(7280));
+    servers.replace(Vec::new(), ms(7280));
+    assert!(servers.is_empty());
+}
+
 #[test]
 fn draining_state_applies_during_a_store_outage() {
     let mut servers = gateway::ServerSet::default();
