Keep a deleted entry only where it can have lapsed (DRAIN)

Cause: a host counted each failure to read the store, also one of the hosts that it reads from, as an outage of the store, and kept any entry deleted until 2.3 s after it. Copy 1.9 s old and 2.3 s of grace are more than the 4 s after which a server that left must get nothing. Class: a failure of the own path to something is taken for a failure of the thing itself.

Change: an entry lapses after three silent renewal intervals, so an outage shorter than two (one may have passed before) removes none. The length of an outage runs from the last time the store is known to have served any host, news of newer revisions from others included, less their delay; a followed host that has nothing new proves nothing. The interval is the platform's setting. A host that was never served defers as before.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -32,6 +32,8 @@
     pub is_first_start: bool,
     /// Region of each data centre.
     pub regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
+    /// Interval at which backend servers renew their entries in the store.
+    pub renewal_interval: time::Duration,
     /// Bounds on retries.
     pub retry: decisions::RetryLimits,
     /// Share of a region's callers that may move to another region within 2 s.
@@ -84,7 +86,8 @@
                 &own_data_centre,
                 settings.regions.clone(),
                 settings.retry,
-            ),
+            )
+            .with_renewal_interval(settings.renewal_interval),
             members: decisions::Members::new(settings.member.clone())
                 .with_seeds(settings.seeds.clone()),
             lookup_balancer: decisions::LookupBalancer::new(settings.max_shift),
@@ -310,8 +313,13 @@
         newest: &store_state::NewestRevisions,
         now: model::Time,
     ) {
-        for (kind, revision) in newest {
-            self.store_state.record_revision(kind, *revision);
+        let has_newer = newest
+            .iter()
+            .filter(|(kind, revision)| self.store_state.record_revision(kind, **revision))
+            .count()
+            > 0;
+        if has_newer {
+            state.dispatcher.servers.record_revision_news(now);
         }
         state
             .lookup_balancer
--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -155,7 +155,10 @@
         };
         let mut has_changes = false;
         let result = result.map(|read| {
-            on_event(StoreEvent::Available(true));
+            // A source whose watch hangs answers without changes, too.
+            if !is_followed || !read.is_empty() {
+                on_event(StoreEvent::Available(true));
+            }
             match read {
                 Read::Listing(listing) => {
                     revision = Some(listing.revision);
@@ -214,6 +217,13 @@
     Changes(WatchBatch<T>),
 }
 
+impl<T> Read<T> {
+    /// Whether it tells nothing new of the store.
+    fn is_empty(&self) -> bool {
+        matches!(self, Read::Changes(batch) if batch.changes.is_empty())
+    }
+}
+
 /// Reads from another host: all objects without a revision, or else the changes since it.
 async fn follow<T>(reader: &StoreReader<T>, revision: Option<u64>) -> Followed<Read<T>> {
     match revision {
--- a/crates/node/src/gateway/store_state.rs
+++ b/crates/node/src/gateway/store_state.rs
@@ -63,15 +63,15 @@
         self.newest_revisions.borrow().clone()
     }
 
-    /// Records the revision of a change that a host has seen.
-    pub fn record_revision(&self, kind: &str, revision: u64) {
+    /// Records the revision of a change that a host has seen; returns whether it is the newest.
+    pub fn record_revision(&self, kind: &str, revision: u64) -> bool {
         self.newest_revisions.send_if_modified(|newest| {
             let is_newer = newest.get(kind).is_none_or(|known| *known < revision);
             if is_newer {
                 newest.insert(kind.to_string(), revision);
             }
             is_newer
-        });
+        })
     }
 
     /// Revision of the newest change of a kind that this host knows of; 0 if there is none.
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -103,6 +103,12 @@
         }
     }
 
+    /// Sets the interval at which backend servers renew their entries in the store.
+    pub fn with_renewal_interval(mut self, interval: time::Duration) -> Dispatcher {
+        self.servers = self.servers.with_renewal_interval(interval);
+        self
+    }
+
     /// Changes the bounds on retries; counts are kept.
     pub fn set_limits(&mut self, limits: RetryLimits) {
         self.limits = limits;
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -24,11 +24,22 @@
     Removed,
 }
 
+/// Interval between two renewals of an entry if the deployment sets none.
+const DEFAULT_RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(1500);
+
+/// Renewals that a running backend server misses before its entry can lapse: the store removes an
+/// entry after three silent intervals, of which one may have passed when an outage begins.
+const RENEWALS_TO_LAPSE: u32 = 2;
+
+/// Longest time that the news of a revision of the store takes from the host that read it to all
+/// others: a summary of another data centre, and the heartbeats before and after it.
+const REVISION_NEWS_DELAY: time::Duration = time::Duration::from_millis(1500);
+
 /// Backend servers of one service, by data centre.
 type Groups = collections::BTreeMap<model::DataCentreId, Vec<ServerIndex>>;
 
 /// The backend servers that a host knows, grouped by service and data centre.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServerSet {
     servers: collections::HashMap<ServerIndex, server::Server>,
     indices: collections::HashMap<model::ServerId, ServerIndex>,
@@ -36,11 +47,42 @@
     evacuated: collections::BTreeSet<model::DataCentreId>,
     warmups: collections::BTreeMap<model::ServiceId, time::Duration>,
     last_index: ServerIndex,
-    /// Time of the last failed call to the store.
-    last_store_failure: Option<model::Time>,
+    /// Interval at which backend servers renew their entries.
+    renewal_interval: time::Duration,
+    /// Last time at which the store is known to have served any host; `None` if never.
+    last_served: Option<model::Time>,
+    last_failure: Option<Failure>,
     is_store_down: bool,
 }
 
+/// Failed calls to the store in a row.
+#[derive(Clone, Copy, Debug)]
+struct Failure {
+    /// Last time before the failures at which the store served any host; `None` if unknown.
+    served_before: Option<model::Time>,
+    /// First time after the failures at which the store served any host.
+    served_again: Option<model::Time>,
+    /// Time of the last failed call.
+    last: model::Time,
+}
+
+impl Default for ServerSet {
+    fn default() -> ServerSet {
+        ServerSet {
+            servers: collections::HashMap::new(),
+            indices: collections::HashMap::new(),
+            groups: collections::BTreeMap::new(),
+            evacuated: collections::BTreeSet::new(),
+            warmups: collections::BTreeMap::new(),
+            last_index: 0,
+            renewal_interval: DEFAULT_RENEWAL_INTERVAL,
+            last_served: None,
+            last_failure: None,
+            is_store_down: false,
+        }
+    }
+}
+
 impl ServerSet {
     /// Adds or updates one registered backend server.
     pub fn upsert(&mut self, entry: server::ServerEntry, now: model::Time) {
@@ -65,8 +107,15 @@
         self.rebuild_groups();
     }
 
-    /// Handles a deleted entry.  During an outage of the store the entries of running backend
-    /// servers expire too, so the removal is deferred until they had time to register again.
+    /// Sets the interval at which backend servers renew their entries.
+    pub fn with_renewal_interval(mut self, interval: time::Duration) -> ServerSet {
+        self.renewal_interval = interval;
+        self
+    }
+
+    /// Handles a deleted entry.  In an outage of the store the entries of running backend servers
+    /// lapse too, so the removal is deferred until they had time to register again.  Where no entry
+    /// can have lapsed, its server has left.
     pub fn remove(&mut self, id: &str, now: model::Time) -> Removal {
         let Some(index) = self.indices.get(id).copied() else {
             return Removal::Unknown;
@@ -108,16 +157,43 @@
             .collect()
     }
 
-    /// Records whether the store responds; returns whether that changed.
+    /// Records whether a call to the store, or to a host that reads it, succeeded; returns whether
+    /// that changed.
     pub fn set_store_available(&mut self, is_available: bool, now: model::Time) -> bool {
         let has_changed = self.is_store_down == is_available;
-        if !is_available {
-            self.last_store_failure = Some(now);
-        }
         self.is_store_down = !is_available;
+        if is_available {
+            self.record_served(now);
+            return has_changed;
+        }
+        // Failures that follow each other without a success are one outage.
+        let running = self.last_failure.filter(|failure| {
+            failure.served_again.is_none() && failure.served_before == self.last_served
+        });
+        self.last_failure = Some(Failure {
+            served_before: running.map_or(self.last_served, |failure| failure.served_before),
+            served_again: None,
+            last: now,
+        });
         has_changed
     }
 
+    /// Records that another host has read a newer revision from the store: the store serves others,
+    /// whatever it is that keeps this host from reading it.
+    pub fn record_revision_news(&mut self, now: model::Time) {
+        self.record_served(now.saturating_sub(REVISION_NEWS_DELAY));
+    }
+
+    fn record_served(&mut self, at: model::Time) {
+        if Some(at) <= self.last_served {
+            return;
+        }
+        self.last_served = Some(at);
+        if let Some(failure) = &mut self.last_failure {
+            failure.served_again.get_or_insert(at);
+        }
+    }
+
     /// Whether the last call to the store succeeded.
     pub fn is_store_available(&self) -> bool {
         !self.is_store_down
@@ -231,11 +307,19 @@
         self.servers.is_empty()
     }
 
+    /// Whether an entry that is missing may belong to a running backend server that could not
+    /// renew it.
     fn defers_removal(&self, now: model::Time) -> bool {
-        self.is_store_down
-            || self
-                .last_store_failure
-                .is_some_and(|failed| now < failed + REREGISTRATION_GRACE)
+        let Some(failure) = self.last_failure else {
+            return false;
+        };
+        let is_recent = self.is_store_down || now < failure.last + REREGISTRATION_GRACE;
+        let lapse_time = self.renewal_interval * RENEWALS_TO_LAPSE;
+        let end = failure.served_again.unwrap_or(now);
+        is_recent
+            && failure
+                .served_before
+                .is_none_or(|start| end.saturating_sub(start) >= lapse_time)
     }
 
     fn delete(&mut self, index: ServerIndex) {
--- a/crates/steering/tests/gateway/server_set.rs
+++ b/crates/steering/tests/gateway/server_set.rs
@@ -66,6 +66,38 @@
     assert!(servers.is_empty());
 }
 
+/// The store serves other hosts while this one is turned away: nothing lapses.
+#[test]
+fn an_entry_deleted_while_the_store_serves_other_hosts_is_removed_at_once() {
+    let mut servers = gateway::ServerSet::default();
+    servers.set_store_available(true, ms(1000));
+    servers.upsert(fixtures::entry("s1", "a1", 4), ms(1000));
+    for i in 0..18 {
+        servers.set_store_available(false, ms(2500 + i * 500));
+        servers.record_revision_news(ms(2700 + i * 500));
+    }
+    servers.set_store_available(true, ms(11_500));
+    servers.replace(Vec::new(), ms(11_500));
+    assert!(servers.is_empty());
+}
+
+/// News from before an outage of the store that arrive late don't shorten it.
+#[test]
+fn late_news_keep_no_server_from_registering_again() {
+    let mut servers = gateway::ServerSet::default();
+    servers.set_store_available(true, ms(1000));
+    servers.upsert(fixtures::entry("s1", "a1", 4), ms(1000));
+    servers.set_store_available(false, ms(1100));
+    servers.record_revision_news(ms(2300));
+    servers.set_store_available(false, ms(5400));
+    servers.set_store_available(true, ms(5600));
+    servers.replace(Vec::new(), ms(5600));
+    servers.remove_missing(ms(7600));
+    assert_eq!(usable(&servers, 7600), 1);
+    servers.remove_missing(ms(7800));
+    assert!(servers.is_empty());
+}
+
 #[test]
 fn draining_state_applies_during_a_store_outage() {
     let mut servers = gateway::ServerSet::default();
