--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decision logic of the HTTP gateway.
 
+mod cold_rate;
 mod dispatcher;
 mod fairness;
 mod fixtures;
