Let a few hosts share the rate of a cold server (FAILBACK)

Callers' work flooded servers that had just come back cold, until they ended.

Cause: each host divided a cold server's rate by the number of hosts and kept that interval between its own requests. That bounds the mean; the first request of each host went out at once, so the sum in the second in which hosts learn of the server grew with their number. Class: a bound on the sum kept by each part's mean, without a bound on how many act at once.

Change: a few hosts, chosen for each server by rendezvous hashing among those that are live, share its rate; the others place their work elsewhere. How many follows from the deployment's bounds (cold_over and cold_slack, not read until now): half of what is tolerated beside the mean rate for the server's data centre, a quarter for the others, a quarter for hosts that know different ones. A host that has not found the others yet sends a cold server nothing. Mean rates are as before (0.8 and 0.4 of the server's).

Measured: both tests pass; with hosts that each miss a tenth of the others the bound holds; two hosts use 11 to 16 requests in 4 s at 3.8 a second.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -34,6 +34,8 @@
     pub regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
     /// Interval at which backend servers renew their entries in the store.
     pub renewal_interval: time::Duration,
+    /// How much more than their rate cold backend servers tolerate.
+    pub cold_tolerance: decisions::ColdTolerance,
     /// Bounds on retries.
     pub retry: decisions::RetryLimits,
     /// Share of a region's callers that may move to another region within 2 s.
@@ -79,7 +81,7 @@
     /// Creates a gateway that has neither a configuration nor backend servers.
     pub fn new(settings: Settings, header_names: header_names::HeaderNames) -> Gateway {
         let own_data_centre = settings.member.data_centre.clone();
-        let state = State {
+        let mut state = State {
             route_table: decisions::RouteTable::default(),
             traffic_splitter: decisions::TrafficSplitter::default(),
             dispatcher: decisions::Dispatcher::new(
@@ -87,7 +89,8 @@
                 settings.regions.clone(),
                 settings.retry,
             )
-            .with_renewal_interval(settings.renewal_interval),
+            .with_renewal_interval(settings.renewal_interval)
+            .with_cold_tolerance(settings.cold_tolerance),
             members: decisions::Members::new(settings.member.clone())
                 .with_seeds(settings.seeds.clone()),
             lookup_balancer: decisions::LookupBalancer::new(settings.max_shift),
@@ -97,6 +100,10 @@
             decision_senders: collections::HashMap::new(),
             is_stopping: false,
         };
+        // Until it knows the other hosts, it must not use a whole rate alone.
+        state
+            .dispatcher
+            .set_hosts(decisions::KnownHosts::undiscovered());
         let clock = clock::Clock::new();
         Gateway {
             header_names,
@@ -173,6 +180,7 @@
         loop {
             tick.tick().await;
             let now = self.clock.now();
+            let has_found_hosts = self.has_found_hosts();
             let mut state = self.lock();
             for (id, missing) in state.dispatcher.servers.remove_missing(now) {
                 log::info!(
@@ -181,6 +189,10 @@
                 );
             }
             state.drop_dead_in_flight(now);
+            if has_found_hosts {
+                let hosts = state.members.live_hosts(now);
+                state.dispatcher.set_hosts(hosts);
+            }
             if last_sample.elapsed() >= demand::SAMPLE_INTERVAL {
                 last_sample = time::Instant::now();
                 state.demand.end_interval();
@@ -458,12 +470,8 @@
         if !state.dispatcher.has_waiting() {
             return;
         }
-        let live_hosts = state.members.live_host_count(now);
-        state
-            .dispatcher
-            .set_host_count(state.members.known_host_count());
-        for (ticket, decision) in state.dispatcher.decide(live_hosts, now) {
-            self.log_cold_send(state, &decision, live_hosts, now);
+        for (ticket, decision) in state.dispatcher.decide(now) {
+            self.log_cold_send(state, &decision, now);
             let timed = TimedDecision { decision, at: now };
             if let Some(tx) = state.decision_senders.remove(&ticket)
                 && tx.send(timed).is_err()
@@ -474,15 +482,9 @@
         }
     }
 
-    /// Logs and counts a request that goes to a cold backend server, with the number of hosts that
-    /// this one divides the server's rate by.
-    fn log_cold_send(
-        &self,
-        state: &State,
-        decision: &decisions::Decision,
-        live_hosts: usize,
-        now: model::Time,
-    ) {
+    /// Logs and counts a request that goes to a cold backend server, with the hosts of the data
+    /// centre that this one knows; they share the server's rate.
+    fn log_cold_send(&self, state: &State, decision: &decisions::Decision, now: model::Time) {
         let decisions::Decision::Send(index, entry) = decision else {
             return;
         };
@@ -493,8 +495,8 @@
         self.metrics.cold_attempts.inc();
         if let Some(omitted) = self.admit_log_line("cold") {
             log::info!(
-                server = entry.id, warm_in_ms = warm_in.as_millis() as u64, live_hosts,
-                known_hosts = state.members.known_host_count(), omitted;
+                server = entry.id, warm_in_ms = warm_in.as_millis() as u64,
+                live_hosts = state.members.live_host_count(now), omitted;
                 "request sent to a cold backend server"
             );
         }
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -4,21 +4,18 @@
 
 use super::{
     admission, fairness, outcome, placement, policy, remote_in_flight, request, retry_budget,
-    server, server_set, service_times,
+    send_shares, server, server_set, service_times,
 };
 use crate::model;
 
 /// Identifies a submitted request within the process.
 pub type Ticket = u64;
 
-/// Part of a cold backend server's `warmup_rate` that the hosts of its data centre share.  The sum
-/// of this and [`REMOTE_COLD_RATE_SHARE`] is below 1.5, since all hosts together must stay within
-/// 1.5 times the rate, also while a host misses heartbeats of another one.
-const LOCAL_COLD_RATE_SHARE: f64 = 0.8;
-
-/// Part of a cold backend server's `warmup_rate` that all hosts share for requests from other data
-/// centres.
-const REMOTE_COLD_RATE_SHARE: f64 = 0.4;
+/// Tolerance of cold backend servers in a deployment that sets none.
+const DEFAULT_COLD_TOLERANCE: send_shares::ColdTolerance = send_shares::ColdTolerance {
+    ratio: 1.5,
+    slack: 5.0,
+};
 
 /// Decision on a waiting request.
 #[derive(Clone, Debug, PartialEq)]
@@ -72,10 +69,8 @@
     attempts: collections::HashMap<Ticket, Attempt>,
     budgets: collections::BTreeMap<model::ServiceId, retry_budget::RetryBudget>,
     fairness: collections::BTreeMap<model::ServiceId, fairness::Fairness>,
-    services: collections::BTreeMap<model::ServiceId, policy::Service>,
+    shares: send_shares::SendShares,
     limits: RetryLimits,
-    /// Number of hosts in all data centres.
-    host_count: usize,
     last_ticket: Ticket,
 }
 
@@ -96,9 +91,13 @@
             attempts: collections::HashMap::new(),
             budgets: collections::BTreeMap::new(),
             fairness: collections::BTreeMap::new(),
-            services: collections::BTreeMap::new(),
+            shares: send_shares::SendShares {
+                data_centre: data_centre.to_string(),
+                hosts: send_shares::KnownHosts::default(),
+                cold_tolerance: DEFAULT_COLD_TOLERANCE,
+                services: collections::BTreeMap::new(),
+            },
             limits,
-            host_count: 1,
             last_ticket: 0,
         }
     }
@@ -109,6 +108,12 @@
         self
     }
 
+    /// Sets how much more than their rate cold backend servers tolerate.
+    pub fn with_cold_tolerance(mut self, tolerance: send_shares::ColdTolerance) -> Dispatcher {
+        self.shares.cold_tolerance = tolerance;
+        self
+    }
+
     /// Changes the bounds on retries; counts are kept.
     pub fn set_limits(&mut self, limits: RetryLimits) {
         self.limits = limits;
@@ -117,10 +122,9 @@
         }
     }
 
-    /// Sets the number of hosts in all data centres, which share the rate of cold backend servers
-    /// in other data centres.
-    pub fn set_host_count(&mut self, hosts: usize) {
-        self.host_count = hosts;
+    /// Sets the hosts that share the rates of backend servers.
+    pub fn set_hosts(&mut self, hosts: send_shares::KnownHosts) {
+        self.shares.hosts = hosts;
     }
 
     /// Applies the services of a new configuration.
@@ -128,7 +132,7 @@
         &mut self,
         services: &collections::BTreeMap<model::ServiceId, policy::Service>,
     ) {
-        self.services = services.clone();
+        self.shares.services = services.clone();
         let warmups = services
             .iter()
             .map(|(name, service)| (name.clone(), service.warmup));
@@ -161,13 +165,12 @@
     }
 
     /// Decides on the waiting requests in the order of their priority and returns the requests that
-    /// are to be sent or refused.  `local_hosts` is the number of hosts of the own data centre,
-    /// which share the rate of its cold backend servers.
-    pub fn decide(&mut self, local_hosts: usize, now: model::Time) -> Vec<(Ticket, Decision)> {
+    /// are to be sent or refused.
+    pub fn decide(&mut self, now: model::Time) -> Vec<(Ticket, Decision)> {
         let services: Vec<model::ServiceId> = self.waiting.keys().cloned().collect();
         services
             .into_iter()
-            .flat_map(|service| self.decide_service(&service, local_hosts, now))
+            .flat_map(|service| self.decide_service(&service, now))
             .collect()
     }
 
@@ -255,12 +258,7 @@
         })
     }
 
-    fn decide_service(
-        &mut self,
-        service: &str,
-        local_hosts: usize,
-        now: model::Time,
-    ) -> Vec<(Ticket, Decision)> {
+    fn decide_service(&mut self, service: &str, now: model::Time) -> Vec<(Ticket, Decision)> {
         let Some(mut queue) = self.waiting.remove(service) else {
             return Vec::new();
         };
@@ -275,6 +273,7 @@
                 times: &self.times,
                 data_centre: &self.data_centre,
                 regions: &self.regions,
+                shares: &self.shares,
                 remote_in_flight: &self.remote_in_flight,
                 queued_ahead: &queued_ahead,
             };
@@ -305,7 +304,7 @@
                 }
                 admission::AdmissionDecision::Send(choice) => {
                     if let Some(entry) =
-                        self.start_attempt(waiting.ticket, waiting.req, choice, local_hosts, now)
+                        self.start_attempt(waiting.ticket, waiting.req, choice, now)
                     {
                         decisions.push((waiting.ticket, Decision::Send(choice.server, entry)));
                     }
@@ -341,31 +340,15 @@
             .is_some_and(|fairness| fairness.is_starved(&req.route.name))
     }
 
-    /// Time between two requests of this host to a cold backend server with which all hosts
-    /// together keep its rate.  `local_hosts` is the number of hosts of the own data centre.
-    fn cold_interval(&self, entry: &server::ServerEntry, local_hosts: usize) -> time::Duration {
-        let (share, hosts) = match entry.data_centre == self.data_centre {
-            true => (LOCAL_COLD_RATE_SHARE, local_hosts),
-            false => (REMOTE_COLD_RATE_SHARE, self.host_count),
-        };
-        let service = self.services.get(&entry.service);
-        let rate = share * service.map_or(0.0, |service| service.warmup_rate);
-        match rate > 0.0 {
-            true => time::Duration::from_secs_f64(hosts.max(1) as f64 / rate),
-            false => time::Duration::ZERO,
-        }
-    }
-
     fn start_attempt(
         &mut self,
         ticket: Ticket,
         req: request::Request,
         choice: placement::Choice,
-        local_hosts: usize,
         now: model::Time,
     ) -> Option<server::ServerEntry> {
-        let interval = self.cold_interval(&self.servers.get(choice.server)?.entry, local_hosts);
         let server = self.servers.get_mut(choice.server)?;
+        let interval = self.shares.cold_interval(server).unwrap_or_default();
         if req.tried_servers.is_empty()
             && let Some(fairness) = self.fairness.get_mut(&req.service)
         {
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use super::store_readers;
+use super::{send_shares, store_readers};
 use crate::model;
 
 /// Interval between heartbeats within a data centre.
@@ -524,6 +524,18 @@
             .collect()
     }
 
+    /// Live hosts of all data centres, this one included, with their data centres.
+    pub fn live_hosts(&self, now: model::Time) -> send_shares::KnownHosts {
+        let local = self.live_heartbeats(now).map(|heartbeat| &heartbeat.member);
+        let remote = self
+            .live_summaries(now)
+            .flat_map(|summary| &summary.members);
+        let hosts = local
+            .chain(remote)
+            .map(|member| (&member.data_centre, member.host.as_str()));
+        send_shares::KnownHosts::new(&self.own.host, hosts)
+    }
+
     /// Number of live hosts in the own data centre, including this one.
     pub fn live_host_count(&self, now: model::Time) -> usize {
         1 + self.live_heartbeats(now).count()
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3;
 
-use super::{remote_in_flight, request, server, server_set, service_times};
+use super::{remote_in_flight, request, send_shares, server, server_set, service_times};
 use crate::model;
 
 /// Share of requests that find their object cached at its preferred backend server although this
@@ -33,6 +33,8 @@
     pub data_centre: &'a str,
     /// Region of each data centre.
     pub regions: &'a collections::BTreeMap<model::DataCentreId, model::RegionId>,
+    /// Shares of this host in the rates of backend servers.
+    pub shares: &'a send_shares::SendShares,
     /// Requests in progress from other hosts of the data centre.
     pub remote_in_flight: &'a remote_in_flight::RemoteInFlight,
     /// Number of requests with a higher priority that wait for each backend server.
@@ -74,7 +76,7 @@
                 .flat_map(|(data_centre, _)| cx.servers.servers_in(&req.service, data_centre))
                 .filter(|index| !req.tried_servers.contains(index))
                 .filter_map(|index| Some((*index, cx.servers.get(*index)?)))
-                .filter(|(_, server)| server.is_usable(now))
+                .filter(|(_, server)| server.is_usable(now) && cx.shares.may_send(server, now))
                 .collect();
             best_of(cx, req, usable, now)
         })
--- a/crates/steering/tests/gateway/cold_rate.rs
+++ b/crates/steering/tests/gateway/cold_rate.rs
@@ -13,22 +13,30 @@
 
 /// Dispatchers of all hosts, each with the data centre that it is in.
 fn fleet() -> Vec<(&'static str, gateway::Dispatcher)> {
-    let total = HOSTS.iter().map(|(_, count)| count).sum();
-    HOSTS
+    let data_centres: Vec<&str> = HOSTS
         .iter()
         .flat_map(|(data_centre, count)| std::iter::repeat_n(*data_centre, *count))
-        .map(|data_centre| {
+        .collect();
+    data_centres
+        .iter()
+        .enumerate()
+        .map(|(own, data_centre)| {
             let limits = gateway::RetryLimits {
                 ratio: 0.2,
                 slack: 10.0,
                 window: ms(10_000),
             };
-            let mut dispatcher = gateway::Dispatcher::new(data_centre, fixtures::regions(), limits);
+            let tolerance = gateway::ColdTolerance {
+                ratio: 1.5,
+                slack: 10.0,
+            };
+            let mut dispatcher = gateway::Dispatcher::new(data_centre, fixtures::regions(), limits)
+                .with_cold_tolerance(tolerance);
             let mut service = fixtures::service();
             service.warmup_rate = WARMUP_RATE;
             dispatcher.set_services(&[("log".to_string(), service)].into());
-            dispatcher.set_host_count(total);
-            (data_centre, dispatcher)
+            dispatcher.set_hosts(fixtures::known_hosts(&data_centres, own));
+            (*data_centre, dispatcher)
         })
         .collect()
 }
@@ -40,7 +48,7 @@
         for (i, (_, dispatcher)) in fleet.iter_mut().enumerate() {
             let object = at * 1000 + i as u64;
             dispatcher.submit(fixtures::request(fixtures::route("r"), object, ms(at)));
-            for (ticket, decision) in dispatcher.decide(33, ms(at)) {
+            for (ticket, decision) in dispatcher.decide(ms(at)) {
                 if let Decision::Send(_, entry) = decision {
                     sent_at.extend((entry.id == "cold").then_some(at));
                     dispatcher.finish(ticket, Outcome::Answered, ms(at));
@@ -94,3 +102,53 @@
     let max = max_in_a_second(&cold_sends(&mut fleet));
     assert!(max <= TOLERATED_IN_A_SECOND, "{max} sent in a second");
 }
+
+/// Hosts that know different ones choose other senders; the sum must hold all the same.
+#[test]
+fn hosts_that_know_different_hosts_do_not_flood_a_cold_server() {
+    let data_centres: Vec<&str> = HOSTS
+        .iter()
+        .flat_map(|(data_centre, count)| std::iter::repeat_n(*data_centre, *count))
+        .collect();
+    let mut fleet = fleet();
+    for (own, (_, dispatcher)) in fleet.iter_mut().enumerate() {
+        // Each misses another tenth of the hosts.
+        let known = data_centres.iter().enumerate().map(|(i, data_centre)| {
+            let is_missed = i != own && (i + own) % 10 == 0;
+            if is_missed { "nowhere" } else { data_centre }
+        });
+        dispatcher.set_hosts(fixtures::known_hosts(&known.collect::<Vec<_>>(), own));
+        dispatcher.servers.upsert(cold_entry(), ms(0));
+    }
+    let max = max_in_a_second(&cold_sends(&mut fleet));
+    assert!(max <= TOLERATED_IN_A_SECOND, "{max} sent in a second");
+}
+
+/// A host that has just started and knows no others must not take the whole rate.
+#[test]
+fn a_host_that_has_not_found_the_others_sends_nothing_to_a_cold_server() {
+    let mut fleet = fleet();
+    for (_, dispatcher) in &mut fleet {
+        dispatcher.set_hosts(gateway::KnownHosts::undiscovered());
+        dispatcher.servers.upsert(cold_entry(), ms(0));
+    }
+    assert_eq!(cold_sends(&mut fleet), Vec::<u64>::new());
+}
+
+/// In a small data centre all hosts are senders, and use the rate that the server takes.
+#[test]
+fn two_hosts_use_the_rate_of_a_cold_server() {
+    let mut fleet = fleet();
+    fleet.truncate(2);
+    for (own, (_, dispatcher)) in fleet.iter_mut().enumerate() {
+        dispatcher.set_hosts(fixtures::known_hosts(&["a1", "a1"], own));
+        dispatcher.servers.upsert(cold_entry(), ms(0));
+    }
+    let sent_at = cold_sends(&mut fleet);
+    assert!(
+        (11..=16).contains(&sent_at.len()),
+        "{} sent in 4 s",
+        sent_at.len()
+    );
+    assert!(max_in_a_second(&sent_at) <= TOLERATED_IN_A_SECOND);
+}
--- a/crates/steering/tests/gateway/dispatcher.rs
+++ b/crates/steering/tests/gateway/dispatcher.rs
@@ -34,7 +34,7 @@
     for i in 0..20 {
         let now = ms(i * 200);
         let ticket = dispatcher.submit(fixtures::request(fixtures::route("r"), 7, now));
-        let decisions = dispatcher.decide(1, now);
+        let decisions = dispatcher.decide(now);
         servers.extend(sent(&decisions).into_iter().map(|(_, id)| id));
         dispatcher.finish(ticket, Outcome::Answered, now + ms(100));
     }
@@ -49,7 +49,7 @@
     for _ in 0..3 {
         dispatcher.submit(fixtures::request(fixtures::route("r"), 7, ms(0)));
     }
-    let first = sent(&dispatcher.decide(1, ms(0)));
+    let first = sent(&dispatcher.decide(ms(0)));
     assert_eq!(first.len(), 1, "{first:?}");
     // A queue of many other requests does.
     let is_preferred = |(_, s): &(_, &gateway::Server)| s.entry.id == first[0].1;
@@ -61,7 +61,7 @@
         .1
         .name_hash;
     dispatcher.remote_in_flight.update("other", &[(hash, 12)]);
-    let second = sent(&dispatcher.decide(2, ms(1)));
+    let second = sent(&dispatcher.decide(ms(1)));
     assert_ne!(second[0].1, first[0].1);
 }
 
@@ -73,7 +73,7 @@
         dispatcher.submit(fixtures::request(fixtures::route("r"), 7, ms(0)));
     }
     servers.extend(
-        sent(&dispatcher.decide(1, ms(0)))
+        sent(&dispatcher.decide(ms(0)))
             .into_iter()
             .map(|(_, id)| id),
     );
@@ -84,18 +84,18 @@
 fn smaller_rank_gets_slot_first() {
     let mut dispatcher = dispatcher_with_servers(1, 1);
     let blocker = dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(0)));
-    dispatcher.decide(1, ms(0));
+    dispatcher.decide(ms(0));
     let mut low = fixtures::route("low");
     low.rank = 2;
     let mut high = fixtures::route("high");
     high.rank = 0;
     let low = dispatcher.submit(fixtures::request(low, 1, ms(1)));
     let high = dispatcher.submit(fixtures::request(high, 1, ms(2)));
-    assert!(dispatcher.decide(1, ms(2)).is_empty());
+    assert!(dispatcher.decide(ms(2)).is_empty());
     dispatcher.finish(blocker, Outcome::Answered, ms(100));
-    assert_eq!(sent(&dispatcher.decide(1, ms(100)))[0].0, high);
+    assert_eq!(sent(&dispatcher.decide(ms(100)))[0].0, high);
     dispatcher.finish(high, Outcome::Answered, ms(200));
-    assert_eq!(sent(&dispatcher.decide(1, ms(200)))[0].0, low);
+    assert_eq!(sent(&dispatcher.decide(ms(200)))[0].0, low);
 }
 
 #[test]
@@ -104,7 +104,7 @@
     for _ in 0..60 {
         dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(0)));
     }
-    let decisions = dispatcher.decide(1, ms(0));
+    let decisions = dispatcher.decide(ms(0));
     let refused: Vec<_> = decisions
         .iter()
         .filter_map(|(_, decision)| match decision {
@@ -121,7 +121,7 @@
 fn without_servers_requests_are_refused() {
     let mut dispatcher = fixtures::dispatcher();
     dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(0)));
-    let decisions = dispatcher.decide(1, ms(0));
+    let decisions = dispatcher.decide(ms(0));
     let reason = gateway::Reason::NoServer;
     assert!(matches!(decisions[0].1, Decision::Refuse { reason: r, .. } if r == reason));
 }
@@ -133,7 +133,7 @@
     req.deadline = ms(20);
     dispatcher.submit(req);
     let reason = gateway::Reason::Deadline;
-    let decisions = dispatcher.decide(1, ms(0));
+    let decisions = dispatcher.decide(ms(0));
     assert!(matches!(decisions[0].1, Decision::Refuse { reason: r, .. } if r == reason));
 }
 
@@ -149,7 +149,7 @@
     let mut route = fixtures::route("r");
     route.regions = vec!["b".to_string()];
     dispatcher.submit(fixtures::request(route, 1, ms(0)));
-    assert_eq!(sent(&dispatcher.decide(1, ms(0)))[0].1, "home");
+    assert_eq!(sent(&dispatcher.decide(ms(0)))[0].1, "home");
 }
 
 #[test]
@@ -168,19 +168,19 @@
         .servers
         .set_evacuated(["a1".to_string()].into(), ms(0));
     dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(1)));
-    assert_eq!(sent(&dispatcher.decide(1, ms(1)))[0].1, "region");
+    assert_eq!(sent(&dispatcher.decide(ms(1)))[0].1, "region");
 }
 
 #[test]
 fn unreachable_server_is_ejected_temporarily() {
     let mut dispatcher = dispatcher_with_servers(1, 4);
     let first = dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(0)));
-    dispatcher.decide(1, ms(0));
+    dispatcher.decide(ms(0));
     dispatcher.finish(first, Outcome::Unreachable, ms(1));
     dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(2)));
-    assert!(sent(&dispatcher.decide(1, ms(2))).is_empty());
+    assert!(sent(&dispatcher.decide(ms(2))).is_empty());
     dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(1000)));
-    assert_eq!(sent(&dispatcher.decide(1, ms(1000))).len(), 1);
+    assert_eq!(sent(&dispatcher.decide(ms(1000))).len(), 1);
 }
 
 #[test]
@@ -189,9 +189,9 @@
     let hash = dispatcher.servers.iter().next().unwrap().1.name_hash;
     dispatcher.remote_in_flight.update("other", &[(hash, 2)]);
     dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(0)));
-    assert!(sent(&dispatcher.decide(2, ms(0))).is_empty());
+    assert!(sent(&dispatcher.decide(ms(0))).is_empty());
     dispatcher.remote_in_flight.update("other", &[]);
-    assert_eq!(sent(&dispatcher.decide(2, ms(1))).len(), 1);
+    assert_eq!(sent(&dispatcher.decide(ms(1))).len(), 1);
 }
 
 #[test]
@@ -200,7 +200,7 @@
     for i in 0..200 {
         let now = ms(i * 10);
         let ticket = dispatcher.submit(fixtures::request(fixtures::route("r"), i % 12, now));
-        dispatcher.decide(1, now);
+        dispatcher.decide(now);
         dispatcher.finish(ticket, Outcome::Answered, now + ms(9));
     }
     dispatcher
@@ -210,11 +210,7 @@
     for i in 0..48 {
         let now = ms(2000 + i * 10);
         let ticket = dispatcher.submit(fixtures::request(fixtures::route("r"), i % 12, now));
-        servers.extend(
-            sent(&dispatcher.decide(1, now))
-                .into_iter()
-                .map(|(_, id)| id),
-        );
+        servers.extend(sent(&dispatcher.decide(now)).into_iter().map(|(_, id)| id));
         dispatcher.finish(ticket, Outcome::Answered, now + ms(9));
     }
     assert!(servers.contains("new"), "{servers:?}");
@@ -257,6 +253,7 @@
     ) {
         let slots = 3;
         let mut dispatcher = dispatcher_with_servers(2, slots);
+        dispatcher.set_hosts(fixtures::known_hosts(&vec!["a1"; hosts], 0));
         let mut cold = fixtures::entry("cold", "a1", 50);
         cold.warmup_left = ms(60_000);
         dispatcher.servers.upsert(cold, ms(0));
@@ -282,7 +279,7 @@
                 Step::Finish { .. } | Step::Abandon { .. } => {}
                 Step::Wait { ms: elapsed } => now += ms(elapsed),
             }
-            for (ticket, decision) in dispatcher.decide(hosts, now) {
+            for (ticket, decision) in dispatcher.decide(now) {
                 prop_assert!(undecided.remove(&ticket), "a second decision");
                 if let Decision::Send(_, entry) = decision {
                     if entry.id == "cold" {
@@ -313,10 +310,11 @@
     let data_centres = ["a1", "a1", "a2", "a2", "b1", "b1"];
     let mut dispatchers: Vec<gateway::Dispatcher> = data_centres
         .iter()
-        .map(|data_centre| {
+        .enumerate()
+        .map(|(own, data_centre)| {
             let mut dispatcher = gateway::Dispatcher::new(data_centre, fixtures::regions(), limits);
             dispatcher.set_services(&[("log".to_string(), fixtures::service())].into());
-            dispatcher.set_host_count(data_centres.len());
+            dispatcher.set_hosts(fixtures::known_hosts(&data_centres, own));
             let mut entry = fixtures::entry("s", "a1", 9);
             entry.warmup_left = ms(3000);
             dispatcher.servers.upsert(entry, ms(0));
@@ -327,7 +325,7 @@
     for at in (0..3000).step_by(20) {
         for dispatcher in &mut dispatchers {
             dispatcher.submit(fixtures::request(fixtures::route("r"), at, ms(at)));
-            for (ticket, _) in sent(&dispatcher.decide(2, ms(at))) {
+            for (ticket, _) in sent(&dispatcher.decide(ms(at))) {
                 sent_at.push(at);
                 dispatcher.finish(ticket, Outcome::Answered, ms(at));
             }
@@ -352,17 +350,17 @@
     for i in 0..60 {
         let now = ms(i * 30);
         let ticket = dispatcher.submit(fixtures::request(route.clone(), i / 2, now));
-        dispatcher.decide(1, now);
+        dispatcher.decide(now);
         dispatcher.finish(ticket, Outcome::Answered, now + ms(20));
     }
     for object in 0..40 {
         dispatcher.submit(fixtures::request(route.clone(), object, ms(2000)));
     }
-    dispatcher.decide(1, ms(2000));
+    dispatcher.decide(ms(2000));
     // 9 of the 40 requests are sent to the free slots.
     assert_eq!(dispatcher.waiting_count(), 31);
     // No response arrives within the objective, so all waiting requests become late: 10 may keep
     // waiting, and the other 21 of 31 are refused.
-    let refused = dispatcher.decide(1, ms(2500)).len();
+    let refused = dispatcher.decide(ms(2500)).len();
     assert_eq!((dispatcher.waiting_count(), refused), (10, 21));
 }
--- a/crates/steering/tests/gateway/fairness.rs
+++ b/crates/steering/tests/gateway/fairness.rs
@@ -41,7 +41,7 @@
             rare_tickets.insert(dispatcher.submit(req));
             rare_counts.total += 1;
         }
-        for (ticket, decision) in dispatcher.decide(1, now) {
+        for (ticket, decision) in dispatcher.decide(now) {
             if let Decision::Send(..) = decision {
                 running.push((at + 200, ticket));
                 let counts = match rare_tickets.contains(&ticket) {
--- a/crates/steering/tests/gateway/fixtures.rs
+++ b/crates/steering/tests/gateway/fixtures.rs
@@ -85,6 +85,21 @@
     dispatcher
 }
 
+/// Hosts named `h0`, `h1` and so on in these data centres, as the one with the index `own` knows
+/// them.
+pub fn known_hosts(data_centres: &[&str], own: usize) -> gateway::KnownHosts {
+    let names: Vec<(String, String)> = data_centres
+        .iter()
+        .enumerate()
+        .map(|(i, data_centre)| (data_centre.to_string(), format!("h{i}")))
+        .collect();
+    let others = names.iter().enumerate().filter(|(i, _)| *i != own);
+    gateway::KnownHosts::new(
+        &names[own].1,
+        others.map(|(_, (data_centre, host))| (data_centre, host.as_str())),
+    )
+}
+
 pub fn request(route: gateway::Route, object: u64, now: model::Time) -> gateway::Request {
     gateway::Request {
         service: "log".to_string(),
