Change groups of backend servers in place

Cause: each server that was added, deleted or moved made its host build the groups of all servers anew, so a list of a large deployment and the departure of hundreds cost quadratic time, on a tenth of a core while the host has to take note of servers that leave.

Change: a server joins or leaves only its own group; the order within a group, by index, is as before. A property test compares the groups with what building them anew gives.

--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -86,25 +86,30 @@
 impl ServerSet {
     /// Adds or updates one registered backend server.
     pub fn upsert(&mut self, entry: server::ServerEntry, now: model::Time) {
-        if let Some(server) = self
-            .indices
-            .get(&entry.id)
-            .and_then(|i| self.servers.get_mut(i))
-        {
-            let moved = server.entry.service != entry.service
-                || server.entry.data_centre != entry.data_centre;
+        let known = self.indices.get(&entry.id).copied();
+        if let Some((index, server)) = known.and_then(|i| Some((i, self.servers.get_mut(&i)?))) {
+            let old = (
+                server.entry.service.clone(),
+                server.entry.data_centre.clone(),
+            );
+            let new = (entry.service.clone(), entry.data_centre.clone());
             server.update(entry, now);
-            if moved {
-                self.rebuild_groups();
+            if old != new {
+                self.leave_group(index, &old.0, &old.1);
+                self.join_group(index, new.0, new.1);
             }
             return;
         }
         self.last_index += 1;
         self.indices.insert(entry.id.clone(), self.last_index);
+        self.join_group(
+            self.last_index,
+            entry.service.clone(),
+            entry.data_centre.clone(),
+        );
         let mut server = server::Server::new(entry, now);
         server.is_evacuated = self.evacuated.contains(&server.entry.data_centre);
         self.servers.insert(self.last_index, server);
-        self.rebuild_groups();
     }
 
     /// Sets the interval at which backend servers renew their entries.
@@ -325,21 +330,35 @@
     fn delete(&mut self, index: ServerIndex) {
         if let Some(server) = self.servers.remove(&index) {
             self.indices.remove(&server.entry.id);
-            self.rebuild_groups();
+            self.leave_group(index, &server.entry.service, &server.entry.data_centre);
         }
     }
 
-    fn rebuild_groups(&mut self) {
-        self.groups.clear();
-        let mut indices: Vec<ServerIndex> = self.servers.keys().copied().collect();
-        indices.sort_unstable();
-        for index in indices {
-            let entry = &self.servers[&index].entry;
-            let groups = self.groups.entry(entry.service.clone()).or_default();
-            groups
-                .entry(entry.data_centre.clone())
-                .or_default()
-                .push(index);
+    /// Groups are changed in place: with hundreds of servers that start or leave at once, building
+    /// them anew for each one costs more processor time than all decisions.
+    fn join_group(
+        &mut self,
+        index: ServerIndex,
+        service: model::ServiceId,
+        data_centre: model::DataCentreId,
+    ) {
+        let group = self
+            .groups
+            .entry(service)
+            .or_default()
+            .entry(data_centre)
+            .or_default();
+        let position = group.partition_point(|other| *other < index);
+        group.insert(position, index);
+    }
+
+    fn leave_group(&mut self, index: ServerIndex, service: &str, data_centre: &str) {
+        let Some(groups) = self.groups.get_mut(service) else {
+            return;
+        };
+        if let Some(group) = groups.get_mut(data_centre) {
+            group.retain(|other| *other != index);
         }
+        groups.retain(|_, group| !group.is_empty());
     }
 }
--- a/crates/steering/tests/gateway/server_set.rs
+++ b/crates/steering/tests/gateway/server_set.rs
@@ -1,5 +1,6 @@
 //! The set of backend servers: registered entries, evacuations, outages of the store, cold starts.
 
+use proptest::prelude::*;
 use yuccatide_steering::gateway;
 
 use crate::fixtures::{self, ms};
@@ -146,3 +147,37 @@
     assert!(servers.servers_in("log", "a1").is_empty());
     assert_eq!(servers.servers_in("other", "a1").len(), 1);
 }
+
+proptest! {
+    #![proptest_config(fixtures::config())]
+
+    /// Groups that are changed in place hold what building them anew would.
+    #[test]
+    fn groups_hold_the_servers_of_each_service_and_data_centre(
+        steps in prop::collection::vec((0usize..12, 0usize..3, 0usize..3, any::<bool>()), 1..80),
+    ) {
+        let (services, data_centres) = (["log", "mail", "pay"], ["a1", "a2", "b1"]);
+        let mut servers = gateway::ServerSet::default();
+        for (server, service, data_centre, is_removed) in steps {
+            let id = format!("s{server}");
+            if is_removed {
+                servers.remove(&id, ms(0));
+            } else {
+                let mut entry = fixtures::entry(&id, data_centres[data_centre], 4);
+                entry.service = services[service].to_string();
+                servers.upsert(entry, ms(0));
+            }
+            for (service, data_centre) in
+                services.iter().flat_map(|s| data_centres.iter().map(move |d| (*s, *d)))
+            {
+                let mut expected: Vec<gateway::ServerIndex> = servers
+                    .iter()
+                    .filter(|(_, s)| s.entry.service == service && s.entry.data_centre == data_centre)
+                    .map(|(index, _)| index)
+                    .collect();
+                expected.sort_unstable();
+                prop_assert_eq!(servers.servers_in(service, data_centre), expected);
+            }
+        }
+    }
+}
