--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -77,6 +77,9 @@
         gateway,
         connection_id,
     };
+    if !gateway.may_still_send(attempt.ticket) {
+        return Err(error::Error::Withdrawn);
+    }
     let delay = gateway.clock.now().saturating_sub(attempt.chosen_at);
     gateway.metrics.send_delay.observe(delay.as_secs_f64());
     attempt.is_sent.store(true, atomic::Ordering::Relaxed);
--- a/crates/node/src/gateway/error.rs
+++ b/crates/node/src/gateway/error.rs
@@ -11,6 +11,9 @@
     /// The connection failed.
     #[error(transparent)]
     Backend(#[from] backend::Error),
+    /// The backend server was to get no more requests when the connection was ready.
+    #[error("the backend server left before the request was sent")]
+    Withdrawn,
     /// The response is not the backend server's response to this request.
     #[error("invalid response: {0}")]
     Invalid(&'static str),
@@ -21,6 +24,7 @@
     pub(super) fn outcome(&self) -> gateway::Outcome {
         match self {
             Error::Backend(e) if e.is_not_run() => gateway::Outcome::Unreachable,
+            Error::Withdrawn => gateway::Outcome::Withdrawn,
             Error::Backend(_) | Error::Invalid(_) => gateway::Outcome::Broken,
         }
     }
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -432,6 +432,11 @@
         self.decide(&mut state, now);
     }
 
+    /// Whether the backend server chosen for an attempt still accepts requests.
+    pub(super) fn may_still_send(&self, ticket: decisions::Ticket) -> bool {
+        self.lock().dispatcher.may_still_send(ticket)
+    }
+
     /// Abandons a request and frees its slot.
     pub(super) fn abandon(&self, ticket: decisions::Ticket) {
         let now = self.clock.now();
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -53,6 +53,8 @@
 
 struct Attempt {
     server: server_set::ServerIndex,
+    /// Incarnation of the server that was chosen.
+    incarnation: model::Incarnation,
     req: request::Request,
 }
 
@@ -217,6 +219,17 @@
         }
     }
 
+    /// Whether the backend server chosen for an attempt still accepts requests.  Between the choice
+    /// and the sending lies the time to connect, in which it may leave or restart.
+    pub fn may_still_send(&self, ticket: Ticket) -> bool {
+        let attempt = self.attempts.get(&ticket);
+        attempt
+            .and_then(|attempt| Some((attempt, self.servers.get(attempt.server)?)))
+            .is_some_and(|(attempt, server)| {
+                server.accepts_requests() && server.entry.incarnation == attempt.incarnation
+            })
+    }
+
     /// Service of a request that is in progress.
     pub fn service_of(&self, ticket: Ticket) -> Option<&str> {
         Some(&self.attempts.get(&ticket)?.req.service)
@@ -362,8 +375,12 @@
             now,
         );
         let entry = server.entry.clone();
-        let server = choice.server;
-        self.attempts.insert(ticket, Attempt { server, req });
+        let attempt = Attempt {
+            server: choice.server,
+            incarnation: entry.incarnation,
+            req,
+        };
+        self.attempts.insert(ticket, attempt);
         Some(entry)
     }
 }
--- a/crates/steering/src/gateway/outcome.rs
+++ b/crates/steering/src/gateway/outcome.rs
@@ -16,6 +16,9 @@
     Misdirected,
     /// No byte of the request was sent.
     Unreachable,
+    /// The backend server was to get no more requests when the request was about to be sent; no
+    /// byte of it was sent.
+    Withdrawn,
     /// The response was truncated, malformed or belonged to another request; the request may have
     /// been executed.
     Broken,
@@ -86,6 +89,7 @@
             Outcome::Shed => "shed",
             Outcome::Misdirected => "misdirected",
             Outcome::Unreachable => "unreachable",
+            Outcome::Withdrawn => "withdrawn",
             Outcome::Broken => "broken",
             Outcome::TimedOut => "timed-out",
             Outcome::Cancelled => "cancelled",
@@ -94,14 +98,14 @@
 
     /// Whether a backend server received the request.
     pub fn reached_server(self) -> bool {
-        self != Outcome::Unreachable
+        !matches!(self, Outcome::Unreachable | Outcome::Withdrawn)
     }
 
     /// Whether the request was certainly not executed.
     pub fn was_not_executed(self) -> bool {
         matches!(
             self,
-            Outcome::Shed | Outcome::Misdirected | Outcome::Unreachable
+            Outcome::Shed | Outcome::Misdirected | Outcome::Unreachable | Outcome::Withdrawn
         )
     }
 
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -145,9 +145,14 @@
         self.cached_objects.clear();
     }
 
+    /// Whether it accepts requests, as far as the store tells.
+    pub fn accepts_requests(&self) -> bool {
+        self.entry.state == ServerState::Ready && !self.is_evacuated
+    }
+
     /// Whether it may get requests, regardless of its load.
     pub fn is_usable(&self, now: model::Time) -> bool {
-        self.entry.state == ServerState::Ready && !self.is_evacuated && now >= self.ejected_until
+        self.accepts_requests() && now >= self.ejected_until
     }
 
     /// Whether its entry is missing from the store and it is kept until it had time to register
@@ -282,7 +287,9 @@
             outcome::Outcome::Shed => self.full_until = now + FULL_DURATION,
             outcome::Outcome::Misdirected => self.ejected_until = now + MAX_EJECTION_TIME,
             outcome::Outcome::Unreachable => self.eject(warmup, now),
-            outcome::Outcome::TimedOut | outcome::Outcome::Cancelled => {}
+            outcome::Outcome::Withdrawn
+            | outcome::Outcome::TimedOut
+            | outcome::Outcome::Cancelled => {}
         }
         Some(duration)
     }
--- a/crates/steering/tests/gateway/dispatcher.rs
+++ b/crates/steering/tests/gateway/dispatcher.rs
@@ -216,6 +216,26 @@
     assert!(servers.contains("new"), "{servers:?}");
 }
 
+/// Guards against requests to servers that leave while the host connects to them.
+#[rstest::rstest]
+#[case::unchanged(|_: &mut gateway::ServerEntry| (), true)]
+#[case::draining(|entry: &mut gateway::ServerEntry| entry.state = gateway::ServerState::Draining, false)]
+#[case::restarted(|entry: &mut gateway::ServerEntry| entry.incarnation += 1, false)]
+fn a_request_is_sent_only_while_its_server_accepts_requests(
+    #[case] change: fn(&mut gateway::ServerEntry),
+    #[case] may_send: bool,
+) {
+    let mut dispatcher = dispatcher_with_servers(1, 4);
+    let ticket = dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(0)));
+    assert_eq!(sent(&dispatcher.decide(ms(0))).len(), 1);
+    let mut entry = fixtures::entry("s0", "a1", 4);
+    change(&mut entry);
+    dispatcher.servers.upsert(entry, ms(300));
+    assert_eq!(dispatcher.may_still_send(ticket), may_send);
+    dispatcher.servers.remove("s0", ms(400));
+    assert!(!dispatcher.may_still_send(ticket));
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     Submit { object: u64, rank: u32 },
