Derive the wait for a cold server from the last request to it

Each send stored the earliest time of the next one with the interval of that moment, for warm servers too. The time of the last request is stored now, and the wait follows from the interval when it is asked for, so that a change of the hosts that share a rate counts at once.

--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -361,19 +361,12 @@
         now: model::Time,
     ) -> Option<server::ServerEntry> {
         let server = self.servers.get_mut(choice.server)?;
-        let interval = self.shares.cold_interval(server).unwrap_or_default();
         if req.tried_servers.is_empty()
             && let Some(fairness) = self.fairness.get_mut(&req.service)
         {
             fairness.record_admitted(&req.route.name);
         }
-        server.record_sent(
-            ticket,
-            req.object_hash,
-            choice.service_seconds,
-            interval,
-            now,
-        );
+        server.record_sent(ticket, req.object_hash, choice.service_seconds, now);
         let entry = server.entry.clone();
         let attempt = Attempt {
             server: choice.server,
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -76,7 +76,8 @@
                 .flat_map(|(data_centre, _)| cx.servers.servers_in(&req.service, data_centre))
                 .filter(|index| !req.tried_servers.contains(index))
                 .filter_map(|index| Some((*index, cx.servers.get(*index)?)))
-                .filter(|(_, server)| server.is_usable(now) && cx.shares.may_send(server, now))
+                .filter(|(_, server)| server.is_usable(now))
+                .filter(|(_, server)| cx.shares.wait(server, now).is_some())
                 .collect();
             best_of(cx, req, usable, now)
         })
@@ -151,7 +152,7 @@
     };
     let wait_seconds = slot_wait_seconds
         .max(full_wait_seconds)
-        .max(cold_wait_seconds(server, queued_ahead, now));
+        .max(rate_wait_seconds(cx, server, queued_ahead, now));
     let extra_uncached_seconds = match is_preferred {
         true => 0.0,
         false => EXTRA_UNCACHED_TIME_WEIGHT * (service_seconds - cached_seconds),
@@ -172,15 +173,21 @@
     }
 }
 
-/// Seconds until the rate of a cold backend server allows the request, after the `queued_ahead`
-/// requests with a higher priority that wait for the server.
-fn cold_wait_seconds(server: &server::Server, queued_ahead: u32, now: model::Time) -> f64 {
+/// Seconds until a bound on the rate of the backend server allows the request, after the
+/// `queued_ahead` requests with a higher priority that wait for the server.
+fn rate_wait_seconds(
+    cx: &PlacementContext<'_>,
+    server: &server::Server,
+    queued_ahead: u32,
+    now: model::Time,
+) -> f64 {
     if !server.is_cold(now) {
         return 0.0;
     }
     // Assumed time between two requests of this host to a cold backend server.
     const COLD_SEND_INTERVAL: time::Duration = time::Duration::from_millis(100);
-    (server.cold_wait(now) + COLD_SEND_INTERVAL * queued_ahead).as_secs_f64()
+    let wait = cx.shares.wait(server, now).unwrap_or_default();
+    (wait + COLD_SEND_INTERVAL * queued_ahead).as_secs_f64()
 }
 
 /// Rendezvous hashing: an object prefers the backend server with the largest weight.
--- a/crates/steering/src/gateway/send_shares.rs
+++ b/crates/steering/src/gateway/send_shares.rs
@@ -127,7 +127,7 @@
 impl SendShares {
     /// Shortest time between two requests of this host to the backend server while it is cold;
     /// `None` if this host must not send it any.
-    pub fn cold_interval(&self, server: &server::Server) -> Option<time::Duration> {
+    fn cold_interval(&self, server: &server::Server) -> Option<time::Duration> {
         let entry = &server.entry;
         let rate = self.services.get(&entry.service)?.warmup_rate;
         if rate <= 0.0 {
@@ -143,9 +143,15 @@
             .interval(server.name_hash, &entry.data_centre, is_local, bound)
     }
 
-    /// Whether this host may send requests to the backend server at all.
-    pub fn may_send(&self, server: &server::Server, now: model::Time) -> bool {
-        !server.is_cold(now) || self.cold_interval(server).is_some()
+    /// Time until this host may send the backend server a request; `None` if it has no share of
+    /// its rate.
+    pub fn wait(&self, server: &server::Server, now: model::Time) -> Option<time::Duration> {
+        if !server.is_cold(now) {
+            return Some(time::Duration::ZERO);
+        }
+        let interval = self.cold_interval(server)?;
+        let next = server.last_sent.map(|last| last + interval);
+        Some(next.map_or(time::Duration::ZERO, |next| next.saturating_sub(now)))
     }
 }
 
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -94,7 +94,8 @@
     ejections: u32,
     full_until: model::Time,
     cold_until: model::Time,
-    next_cold_send: model::Time,
+    /// Time of the last request of this host to it.
+    pub(super) last_sent: Option<model::Time>,
     cached_objects: collections::VecDeque<u64>,
     has_responded: bool,
     /// Time since which its entry is missing from the store, while the removal is deferred.
@@ -116,7 +117,7 @@
             ejected_until: model::Time::ZERO,
             ejections: 0,
             full_until: model::Time::ZERO,
-            next_cold_send: now,
+            last_sent: None,
             cached_objects: collections::VecDeque::new(),
             has_responded: false,
             missing_since: None,
@@ -172,14 +173,6 @@
             .then(|| self.cold_until.saturating_sub(now))
     }
 
-    /// Time until a cold backend server may get its next request from this host.
-    pub fn cold_wait(&self, now: model::Time) -> time::Duration {
-        match self.is_cold(now) {
-            true => self.next_cold_send.saturating_sub(now),
-            false => time::Duration::ZERO,
-        }
-    }
-
     /// Number of requests in progress from this host.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.len() as u32
@@ -243,15 +236,13 @@
         self.failure_rate
     }
 
-    /// Records the start of an attempt; `interval` is the time between two requests of this host to
-    /// a cold backend server.  The object counts as cached at once, because a second request finds
-    /// it in the cache while the first one still runs.
+    /// Records the start of an attempt.  The object counts as cached at once, because a second
+    /// request finds it in the cache while the first one still runs.
     pub(super) fn record_sent(
         &mut self,
         ticket: dispatcher::Ticket,
         object: Option<u64>,
         expected_seconds: f64,
-        interval: time::Duration,
         now: model::Time,
     ) {
         self.in_flight.push(InFlight {
@@ -263,7 +254,7 @@
         object
             .into_iter()
             .for_each(|object| self.mark_cached(object));
-        self.next_cold_send = now + interval;
+        self.last_sent = Some(now);
     }
 
     /// Records the end of an attempt and returns its duration.
