Let cold servers of unknown services be used again

The shares of cold servers, added for FAILBACK, gave no host a share where the configuration in force doesn't name the server's service, as happens for a moment around a change; before, such a server had no bound. The test fails on the commit before (no server is chosen) and passes.

--- a/crates/steering/src/gateway/send_shares.rs
+++ b/crates/steering/src/gateway/send_shares.rs
@@ -129,7 +129,8 @@
     /// `None` if this host must not send it any.
     fn cold_interval(&self, server: &server::Server) -> Option<time::Duration> {
         let entry = &server.entry;
-        let rate = self.services.get(&entry.service)?.warmup_rate;
+        let service = self.services.get(&entry.service);
+        let rate = service.map_or(0.0, |service| service.warmup_rate);
         if rate <= 0.0 {
             return Some(time::Duration::ZERO);
         }
--- a/crates/steering/tests/gateway/cold_rate.rs
+++ b/crates/steering/tests/gateway/cold_rate.rs
@@ -152,3 +152,13 @@
     );
     assert!(max_in_a_second(&sent_at) <= TOLERATED_IN_A_SECOND);
 }
+
+/// A service without a rate, or one that the configuration doesn't name, is not bounded.
+#[test]
+fn a_cold_server_without_a_rate_gets_requests() {
+    let mut dispatcher = fixtures::dispatcher();
+    dispatcher.set_services(&Default::default());
+    dispatcher.servers.upsert(cold_entry(), ms(0));
+    dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(0)));
+    assert!(matches!(dispatcher.decide(ms(0))[0].1, Decision::Send(..)));
+}
