Keep the limit that a server names, over all hosts (LIMIT)

Servers in need that name a limit in their answers got as much as before.

Class: a signal of another system that the adapter does not decode.

Change: the adapter decodes what a server says of itself in an answer once, into ServerSignals (load, limit). A limit belongs to an incarnation, is lifted by an answer without it, and spreads with its age by heartbeats and summaries; the newest word counts. Its rate is shared by few hosts in the way of a cold server's, so that the sum holds when all hosts learn of it at once. Servers beyond their limit are left out while others can serve, a host without a share refuses at once with a time, and look-ups count a limited server with the slots that its limit fills. A limit of 0 still gets a request every few seconds, which shows whether it was lifted.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -5,7 +5,7 @@
 use http::header;
 use yuccatide_steering::{gateway as decisions, matching, model};
 
-use super::{body, error, forward, gateway, header_names, response};
+use super::{body, error, forward, gateway, response};
 
 /// Hop-by-hop headers, which are not forwarded.
 const HOP_BY_HOP: [header::HeaderName; 8] = [
@@ -22,19 +22,6 @@
 /// Header with the idle timeout of a connection.
 const KEEP_ALIVE: header::HeaderName = header::HeaderName::from_static("keep-alive");
 
-/// Load that a backend server reports with its response.
-pub(super) fn reported_load(
-    gateway: &gateway::Gateway,
-    response: &response::Response,
-) -> Option<header_names::ServerLoad> {
-    let text = response
-        .headers()
-        .get(&gateway.header_names.load)?
-        .to_str()
-        .ok()?;
-    header_names::ServerLoad::parse(text)
-}
-
 /// An attempt to run a request on the chosen backend server.
 pub(super) struct Attempt<'a> {
     pub(super) gateway: &'a gateway::Gateway,
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -296,14 +296,14 @@
             .is_attempt_sent
             .store(false, atomic::Ordering::Relaxed);
         guard.disarm();
-        let (outcome, load) = match &result {
+        let (outcome, signals) = match &result {
             Ok(received) => (
                 received.outcome,
-                attempt::reported_load(gateway, &received.response),
+                Some((gateway.header_names.signals)(received.response.headers())),
             ),
             Err(e) => (e.outcome(), None),
         };
-        gateway.finish_attempt(guard.ticket, outcome, load);
+        gateway.finish_attempt(guard.ticket, outcome, signals);
         progress.arrivals += u32::from(outcome.reached_server());
         progress.has_maybe_run |= !outcome.was_not_executed();
         log_failed_attempt(
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -196,6 +196,7 @@
             if last_sample.elapsed() >= demand::SAMPLE_INTERVAL {
                 last_sample = time::Instant::now();
                 state.demand.end_interval();
+                state.dispatcher.limits_mut().expire(now);
                 state.update_shares(&self.settings, now);
                 self.update_gauges(&state, now);
             }
@@ -275,6 +276,7 @@
                 Vec::new()
             },
             newest: self.store_state.newest_revisions(),
+            limits: state.dispatcher.limits().news(now),
             contacts,
         };
         let summary = include_summary
@@ -298,9 +300,11 @@
         match &message {
             decisions::Message::Heartbeat(h) => {
                 self.adopt_news(&mut state, &h.blocks, &h.shares, &h.newest, now);
+                adopt_limits(&mut state, &h.limits, now);
             }
             decisions::Message::Summary { summary: s, .. } => {
                 self.adopt_news(&mut state, &s.blocks, &s.shares, &s.newest, now);
+                adopt_limits(&mut state, &s.limits, now);
             }
             decisions::Message::Introduction(_) | decisions::Message::Contacts(_) => {}
         }
@@ -411,22 +415,22 @@
         (ticket, rx)
     }
 
-    /// Records the end of an attempt and the load that the backend server reported.
+    /// Records the end of an attempt and what the backend server said of itself.
     pub(super) fn finish_attempt(
         &self,
         ticket: decisions::Ticket,
         outcome: decisions::Outcome,
-        load: Option<header_names::ServerLoad>,
+        signals: Option<decisions::ServerSignals>,
     ) {
         let now = self.clock.now();
         let mut state = self.lock();
         if let Some(service) = state.dispatcher.service_of(ticket) {
             self.metrics.record_attempt(service, outcome);
         }
-        if let Some(load) = load {
-            state
-                .dispatcher
-                .record_server_load(ticket, load.in_progress + load.queued, now);
+        if let Some(signals) = signals
+            && let Some(server) = state.dispatcher.record_signals(ticket, signals, now)
+        {
+            log_limit_change(&server, signals.limit, time::Duration::ZERO, "answer");
         }
         state.dispatcher.finish(ticket, outcome, now);
         self.decide(&mut state, now);
@@ -541,6 +545,8 @@
             .set(count(state.members.live_host_count(now)));
         self.metrics.servers.set(count(servers.len()));
         self.metrics.usable_servers.set(count(usable));
+        let limited = state.dispatcher.limits().count();
+        self.metrics.limited_servers.set(count(limited));
         let missing = servers.iter().filter(|(_, server)| server.is_missing());
         self.metrics.missing_servers.set(count(missing.count()));
         self.metrics
@@ -555,6 +561,27 @@
     }
 }
 
+/// Takes over the limits of backend servers that another host has seen.
+fn adopt_limits(state: &mut State, news: &[decisions::LimitNews], now: model::Time) {
+    for (server, limit) in state.dispatcher.limits_mut().adopt(news, now) {
+        let known = state.dispatcher.servers.iter();
+        let mut known = known.filter(|(_, known)| known.name_hash == server);
+        let age = news.iter().find(|news| news.server == server);
+        if let (Some((_, known)), Some(age)) = (known.next(), age) {
+            log_limit_change(&known.entry.id, limit, age.age, "host");
+        }
+    }
+}
+
+/// Logs that a backend server has named another limit on its rate, or none any more; `source` is
+/// `answer` for an own attempt, or `host` where another host tells.
+fn log_limit_change(server: &str, limit: Option<f64>, age: time::Duration, source: &'static str) {
+    log::info!(
+        server, limit_per_s = limit, age_ms = age.as_millis() as u64, source;
+        "backend server's limit changed"
+    );
+}
+
 impl State {
     fn apply_policy(&mut self, policy: decisions::Policy) {
         let version = policy.version;
@@ -591,6 +618,25 @@
             .retain(|host| live.contains(host));
     }
 
+    /// Mean service time of the routes of a service, with their objects cached.
+    fn mean_service_time(
+        &self,
+        routes: &[sync::Arc<decisions::Route>],
+        service: &str,
+    ) -> time::Duration {
+        let times: Vec<time::Duration> = routes
+            .iter()
+            .filter(|route| {
+                route
+                    .weighted_services
+                    .iter()
+                    .any(|part| part.service == service)
+            })
+            .map(|route| self.dispatcher.cached_service_time(route))
+            .collect();
+        times.iter().sum::<time::Duration>() / u32::try_from(times.len().max(1)).unwrap_or(1)
+    }
+
     /// Capacity and demand, in slots, of the services of an HTTP host name.
     fn capacity_and_demand(
         &self,
@@ -607,10 +653,9 @@
         let capacity: collections::BTreeMap<_, _> = services
             .iter()
             .map(|service| {
-                (
-                    service.clone(),
-                    self.dispatcher.servers.usable_slots(service, now),
-                )
+                let service_time = self.mean_service_time(routes, service);
+                let slots = self.dispatcher.usable_slots(service, service_time, now);
+                (service.clone(), slots)
             })
             .collect();
         let own = self.demand.loads();
--- a/crates/node/src/gateway/header_names.rs
+++ b/crates/node/src/gateway/header_names.rs
@@ -1,6 +1,7 @@
 //! Headers that clients and backend servers use.
 
 use http::header;
+use yuccatide_steering::gateway;
 
 /// Names of the headers that clients and backend servers use.
 #[derive(Clone, Debug)]
@@ -16,36 +17,12 @@
     pub signature: header::HeaderName,
     /// Id of the backend server that a request is addressed to.
     pub target: header::HeaderName,
-    /// Load of a backend server.
-    pub load: header::HeaderName,
+    /// Decodes what a backend server says of itself in an answer.
+    pub signals: fn(&header::HeaderMap) -> gateway::ServerSignals,
     /// Present if the backend server has not run the request.
     pub not_run: header::HeaderName,
 }
 
-/// Load that a backend server reports.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ServerLoad {
-    /// Requests in progress.
-    pub in_progress: u32,
-    /// Requests in its queue.
-    pub queued: u32,
-    /// Maximum number of concurrent requests.
-    pub slots: u32,
-}
-
-impl ServerLoad {
-    /// Parses `in_progress,queued,slots`; `None` if the text has another form.
-    pub fn parse(text: &str) -> Option<ServerLoad> {
-        let mut parts = text.split(',').map(|part| part.trim().parse().ok());
-        let load = ServerLoad {
-            in_progress: parts.next()??,
-            queued: parts.next()??,
-            slots: parts.next()??,
-        };
-        parts.next().is_none().then_some(load)
-    }
-}
-
 impl HeaderNames {
     /// Value of the object cookie of a request.
     pub(super) fn object_name<'a>(&self, headers: &'a header::HeaderMap) -> Option<&'a str> {
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -70,6 +70,7 @@
     pub(super) servers: gauge::Gauge,
     pub(super) usable_servers: gauge::Gauge,
     pub(super) missing_servers: gauge::Gauge,
+    pub(super) limited_servers: gauge::Gauge,
     pub(super) store_answers: gauge::Gauge,
     pub(super) send_delay: histogram::Histogram,
     pub(super) cold_attempts: counter::Counter,
@@ -95,6 +96,7 @@
             servers: gauge::Gauge::default(),
             usable_servers: gauge::Gauge::default(),
             missing_servers: gauge::Gauge::default(),
+            limited_servers: gauge::Gauge::default(),
             send_delay: histogram::Histogram::new(SEND_DELAY_BUCKETS_S),
             cold_attempts: counter::Counter::default(),
             store_answers: gauge::Gauge::default(),
@@ -159,6 +161,11 @@
             "Backend servers without an entry, kept until they had time to register again",
             self.missing_servers.clone(),
         );
+        registry.register(
+            "limited_servers",
+            "Backend servers that name a limit on their rate",
+            self.limited_servers.clone(),
+        );
         registry.register(
             "send_delay_seconds",
             "Time from the choice of a backend server until the request is sent to it",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -30,7 +30,7 @@
 pub use frontend::Frontend;
 pub use gateway::{Gateway, Settings};
 pub use gossip::gossip;
-pub use header_names::{HeaderNames, ServerLoad};
+pub use header_names::HeaderNames;
 pub use list_watch::{
     Change, Followed, Freshness, Listing, StoreError, StoreEvent, StoreReader, WatchBatch,
     WatchOptions, list_and_watch,
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -3,8 +3,8 @@
 use std::{collections, time};
 
 use super::{
-    admission, fairness, outcome, placement, policy, remote_in_flight, request, retry_budget,
-    send_shares, server, server_set, service_times,
+    admission, fairness, outcome, placement, policy, rate_limit, remote_in_flight, request,
+    retry_budget, send_shares, server, server_set, service_times, signals,
 };
 use crate::model;
 
@@ -17,6 +17,10 @@
     slack: 5.0,
 };
 
+/// Time after which a client should retry that this host can't serve because other hosts use up the
+/// rates of the backend servers.
+const NO_SHARE_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
+
 /// Decision on a waiting request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -98,6 +102,7 @@
                 hosts: send_shares::KnownHosts::default(),
                 cold_tolerance: DEFAULT_COLD_TOLERANCE,
                 services: collections::BTreeMap::new(),
+                limits: rate_limit::RateLimits::default(),
             },
             limits,
             last_ticket: 0,
@@ -235,14 +240,51 @@
         Some(&self.attempts.get(&ticket)?.req.service)
     }
 
-    /// Records the number of requests that a backend server reports, running and waiting.
-    pub fn record_server_load(&mut self, ticket: Ticket, requests: u32, now: model::Time) {
-        let Some(attempt) = self.attempts.get(&ticket) else {
-            return;
-        };
-        if let Some(server) = self.servers.get_mut(attempt.server) {
+    /// Records what a backend server said of itself in the answer to an attempt.  Returns the server
+    /// if its limit has changed.
+    pub fn record_signals(
+        &mut self,
+        ticket: Ticket,
+        signals: signals::ServerSignals,
+        now: model::Time,
+    ) -> Option<model::ServerId> {
+        let attempt = self.attempts.get(&ticket)?;
+        let server = self.servers.get_mut(attempt.server)?;
+        if server.entry.incarnation != attempt.incarnation {
+            return None;
+        }
+        if let Some(requests) = signals.load {
             server.record_report(requests, now);
         }
+        self.shares
+            .limits
+            .record(server.name_hash, attempt.incarnation, signals.limit, now)
+            .then(|| server.entry.id.clone())
+    }
+
+    /// Limits that backend servers have named.
+    pub fn limits(&self) -> &rate_limit::RateLimits {
+        &self.shares.limits
+    }
+
+    /// Returns a mutable reference to the limits that backend servers have named.
+    pub fn limits_mut(&mut self) -> &mut rate_limit::RateLimits {
+        &mut self.shares.limits
+    }
+
+    /// Total slots of the usable backend servers of a service, by data centre.  One with a limit
+    /// counts with the slots that requests of this service time occupy at its limit.
+    pub fn usable_slots(
+        &self,
+        service: &str,
+        service_time: time::Duration,
+        now: model::Time,
+    ) -> collections::BTreeMap<model::DataCentreId, f64> {
+        self.servers.usable_slots(service, now, |server| {
+            let slots = f64::from(server.entry.slots);
+            let limit = self.shares.limit(server);
+            limit.map_or(slots, |limit| slots.min(limit * service_time.as_secs_f64()))
+        })
     }
 
     /// Cancels a request that waits or is in progress.
@@ -291,6 +333,16 @@
                 queued_ahead: &queued_ahead,
             };
             let choice = placement::choose(&cx, &waiting.req, now);
+            if choice.is_none() && placement::is_without_share(&cx, &waiting.req, now) {
+                decisions.push((
+                    waiting.ticket,
+                    Decision::Refuse {
+                        reason: outcome::Reason::Overload,
+                        retry_after: NO_SHARE_RETRY_AFTER,
+                    },
+                ));
+                continue;
+            }
             let is_new = waiting.service_seconds.is_none();
             waiting.service_seconds = choice.map(|choice| choice.service_seconds);
             let priority = self.priority(&waiting, now);
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use super::{send_shares, store_readers};
+use super::{rate_limit, send_shares, store_readers};
 use crate::model;
 
 /// Interval between heartbeats within a data centre.
@@ -77,6 +77,8 @@
     pub shares: Vec<LookupShares>,
     /// Newest known revision of each kind of object in the store.
     pub newest: collections::BTreeMap<String, u64>,
+    /// Limits that backend servers have named.
+    pub limits: Vec<rate_limit::LimitNews>,
     /// Some other live hosts of its data centre, in turn.
     pub contacts: Vec<Member>,
 }
@@ -122,6 +124,8 @@
     pub shares: Vec<LookupShares>,
     /// Newest known revision of each kind of object in the store.
     pub newest: collections::BTreeMap<String, u64>,
+    /// Limits that backend servers have named.
+    pub limits: Vec<rate_limit::LimitNews>,
 }
 
 /// A message between hosts.
@@ -432,6 +436,7 @@
             blocks: heartbeat.blocks.clone(),
             shares: heartbeat.shares.clone(),
             newest: heartbeat.newest.clone(),
+            limits: heartbeat.limits.clone(),
         }
     }
 
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -1,6 +1,6 @@
 //! Selection of the backend server for a request.
 
-use std::{collections, time};
+use std::collections;
 
 use xxhash_rust::xxh3;
 
@@ -55,7 +55,8 @@
 }
 
 /// Selects the backend server with the best score in the nearest tier that has a usable one: the
-/// own data centre, then the own region, then other regions.
+/// own data centre, then the own region, then other regions.  Servers that have got what their
+/// limits allow are left out as long as any tier has others.
 pub(super) fn choose(
     cx: &PlacementContext<'_>,
     req: &request::Request,
@@ -65,26 +66,55 @@
     let tier = |data_centre: &str, region: &model::RegionId| {
         (data_centre != cx.data_centre, Some(region) != own_region)
     };
-    [(false, false), (true, false), (true, true)]
-        .into_iter()
-        .find_map(|wanted| {
-            let usable: Vec<Candidate> = cx
-                .regions
-                .iter()
-                .filter(|(data_centre, region)| tier(data_centre, region) == wanted)
-                .filter(|(_, region)| req.route.allows(region))
-                .flat_map(|(data_centre, _)| cx.servers.servers_in(&req.service, data_centre))
-                .filter(|index| !req.tried_servers.contains(index))
-                .filter_map(|index| Some((*index, cx.servers.get(*index)?)))
-                .filter(|(_, server)| server.is_usable(now))
-                .filter(|(_, server)| cx.shares.wait(server, now).is_some())
-                .collect();
-            best_of(cx, req, usable, now)
-        })
+    let tiers = [(false, false), (true, false), (true, true)];
+    let usable = |wanted: (bool, bool)| -> Vec<Candidate<'_>> {
+        cx.regions
+            .iter()
+            .filter(|(data_centre, region)| tier(data_centre, region) == wanted)
+            .filter(|(_, region)| req.route.allows(region))
+            .flat_map(|(data_centre, _)| cx.servers.servers_in(&req.service, data_centre))
+            .filter(|index| !req.tried_servers.contains(index))
+            .filter_map(|index| Some((*index, cx.servers.get(*index)?)))
+            .filter(|(_, server)| server.is_usable(now))
+            .filter_map(|(index, server)| Some((index, server, cx.shares.share(server, now)?)))
+            .collect()
+    };
+    let within_limit = |(_, _, share): &Candidate<'_>| !share.is_used_up();
+    let mut has_used_up = false;
+    for wanted in tiers {
+        let mut candidates = usable(wanted);
+        let all = candidates.len();
+        candidates.retain(within_limit);
+        has_used_up |= candidates.len() < all;
+        if let Some(choice) = best_of(cx, req, candidates, now) {
+            return Some(choice);
+        }
+    }
+    let mut all = tiers.into_iter().filter(|_| has_used_up);
+    all.find_map(|wanted| best_of(cx, req, usable(wanted), now))
+}
+
+/// Whether a usable backend server could run the request, but this host has no share of its rate.
+pub(super) fn is_without_share(
+    cx: &PlacementContext<'_>,
+    req: &request::Request,
+    now: model::Time,
+) -> bool {
+    cx.regions
+        .iter()
+        .filter(|(_, region)| req.route.allows(region))
+        .flat_map(|(data_centre, _)| cx.servers.servers_in(&req.service, data_centre))
+        .filter(|index| !req.tried_servers.contains(index))
+        .filter_map(|index| cx.servers.get(*index))
+        .any(|server| server.is_usable(now) && cx.shares.share(server, now).is_none())
 }
 
-/// A backend server with its index.
-type Candidate<'a> = (server_set::ServerIndex, &'a server::Server);
+/// A backend server with its index, and this host's share of its rate.
+type Candidate<'a> = (
+    server_set::ServerIndex,
+    &'a server::Server,
+    send_shares::Share,
+);
 
 fn best_of(
     cx: &PlacementContext<'_>,
@@ -124,7 +154,7 @@
 fn score(
     cx: &PlacementContext<'_>,
     req: &request::Request,
-    (index, server): Candidate<'_>,
+    (index, server, share): Candidate<'_>,
     is_preferred: bool,
     now: model::Time,
 ) -> Choice {
@@ -152,7 +182,7 @@
     };
     let wait_seconds = slot_wait_seconds
         .max(full_wait_seconds)
-        .max(rate_wait_seconds(cx, server, queued_ahead, now));
+        .max((share.wait + share.interval * queued_ahead).as_secs_f64());
     let extra_uncached_seconds = match is_preferred {
         true => 0.0,
         false => EXTRA_UNCACHED_TIME_WEIGHT * (service_seconds - cached_seconds),
@@ -173,23 +203,6 @@
     }
 }
 
-/// Seconds until a bound on the rate of the backend server allows the request, after the
-/// `queued_ahead` requests with a higher priority that wait for the server.
-fn rate_wait_seconds(
-    cx: &PlacementContext<'_>,
-    server: &server::Server,
-    queued_ahead: u32,
-    now: model::Time,
-) -> f64 {
-    if !server.is_cold(now) {
-        return 0.0;
-    }
-    // Assumed time between two requests of this host to a cold backend server.
-    const COLD_SEND_INTERVAL: time::Duration = time::Duration::from_millis(100);
-    let wait = cx.shares.wait(server, now).unwrap_or_default();
-    (wait + COLD_SEND_INTERVAL * queued_ahead).as_secs_f64()
-}
-
 /// Rendezvous hashing: an object prefers the backend server with the largest weight.
 fn weight(server: u64, object: u64) -> u64 {
     xxh3::xxh3_64_with_seed(&server.to_le_bytes(), object)
--- a/crates/steering/src/gateway/send_shares.rs
+++ b/crates/steering/src/gateway/send_shares.rs
@@ -8,7 +8,7 @@
 
 use xxhash_rust::xxh3;
 
-use super::{policy, server};
+use super::{policy, rate_limit, server};
 use crate::model;
 
 /// Hash of a host's name.
@@ -38,6 +38,8 @@
 struct RateBound {
     /// Requests per second on average.
     rate: f64,
+    /// Part of the rate for hosts of the server's own data centre; the others share the rest.
+    local_share: f64,
     /// Requests beyond the average that all hosts together may send at one moment.
     burst: f64,
 }
@@ -45,8 +47,22 @@
 /// Average rate of a cold backend server relative to the rate that it takes.
 const COLD_RATE_RATIO: f64 = 1.2;
 
-/// Part of the rate for hosts of the backend server's own data centre; the others share the rest.
-const LOCAL_RATE_SHARE: f64 = 2.0 / 3.0;
+/// Part of a cold backend server's rate for hosts of its own data centre.
+const LOCAL_COLD_SHARE: f64 = 2.0 / 3.0;
+
+/// Part of a limit that a backend server names for hosts of its own data centre.  Other hosts use it
+/// only while their own data centre has none.
+const LOCAL_LIMIT_SHARE: f64 = 0.85;
+
+/// A backend server tolerates this many times the limit that it names, and some requests more, in
+/// any span of this length.
+const LIMIT_TOLERANCE_RATIO: f64 = 1.5;
+const LIMIT_TOLERANCE_REQUESTS: f64 = 5.0;
+const LIMIT_TOLERANCE_WINDOW: time::Duration = time::Duration::from_secs(4);
+
+/// Smallest rate at which a backend server with a limit gets requests, which show whether it has
+/// lifted the limit; well within what it tolerates.
+const MIN_LIMITED_RATE: f64 = 0.25;
 
 /// Parts of the burst that are given to hosts of the backend server's own data centre and of the
 /// others.  The rest covers hosts that know different ones and choose other senders.
@@ -89,8 +105,8 @@
         bound: RateBound,
     ) -> Option<time::Duration> {
         let (rate, burst) = match is_local {
-            true => (LOCAL_RATE_SHARE, LOCAL_BURST_SHARE),
-            false => (1.0 - LOCAL_RATE_SHARE, REMOTE_BURST_SHARE),
+            true => (bound.local_share, LOCAL_BURST_SHARE),
+            false => (1.0 - bound.local_share, REMOTE_BURST_SHARE),
         };
         let max_senders = (burst * bound.burst).max(1.0) as usize;
         // Each sender may send one request at once, whatever the average.
@@ -122,37 +138,79 @@
     pub hosts: KnownHosts,
     pub cold_tolerance: ColdTolerance,
     pub services: collections::BTreeMap<model::ServiceId, policy::Service>,
+    pub limits: rate_limit::RateLimits,
+}
+
+/// This host's share of a backend server's rate.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Share {
+    /// Time until this host may send the server a request.
+    pub wait: time::Duration,
+    /// Time between two requests of this host; zero without a bound.
+    pub interval: time::Duration,
+    /// Whether the server has named a limit.
+    pub is_limited: bool,
+}
+
+impl Share {
+    /// Whether this host has used up its share of the limit that the server has named.
+    pub fn is_used_up(self) -> bool {
+        self.is_limited && self.wait > time::Duration::ZERO
+    }
 }
 
 impl SendShares {
-    /// Shortest time between two requests of this host to the backend server while it is cold;
-    /// `None` if this host must not send it any.
-    fn cold_interval(&self, server: &server::Server) -> Option<time::Duration> {
-        let entry = &server.entry;
-        let service = self.services.get(&entry.service);
-        let rate = service.map_or(0.0, |service| service.warmup_rate);
-        if rate <= 0.0 {
-            return Some(time::Duration::ZERO);
-        }
-        let tolerance = self.cold_tolerance;
+    /// This host's share of the backend server's rate; `None` if it must not send it any request.
+    pub fn share(&self, server: &server::Server, now: model::Time) -> Option<Share> {
+        let cold = server.is_cold(now).then(|| self.cold_bound(server));
+        let limited = self.limit(server).map(limit_bound);
+        let is_limited = limited.is_some();
+        let bounds = cold.flatten().into_iter().chain(limited);
+        let interval = bounds
+            .map(|bound| self.interval(server, bound))
+            .try_fold(time::Duration::ZERO, |longest, interval| {
+                Some(longest.max(interval?))
+            })?;
+        let next = server.last_sent.map(|last| last + interval);
+        Some(Share {
+            wait: next.map_or(time::Duration::ZERO, |next| next.saturating_sub(now)),
+            interval,
+            is_limited,
+        })
+    }
+
+    /// Limit that the backend server has named, in requests per second from all hosts together.
+    pub fn limit(&self, server: &server::Server) -> Option<f64> {
+        self.limits.rate(server.name_hash, server.entry.incarnation)
+    }
+
+    fn cold_bound(&self, server: &server::Server) -> Option<RateBound> {
+        let service = self.services.get(&server.entry.service)?;
+        let (rate, tolerance) = (service.warmup_rate, self.cold_tolerance);
         let bound = RateBound {
             rate: COLD_RATE_RATIO * rate,
+            local_share: LOCAL_COLD_SHARE,
             burst: (tolerance.ratio - COLD_RATE_RATIO) * rate + tolerance.slack,
         };
-        let is_local = entry.data_centre == self.data_centre;
+        (rate > 0.0).then_some(bound)
+    }
+
+    fn interval(&self, server: &server::Server, bound: RateBound) -> Option<time::Duration> {
+        let data_centre = &server.entry.data_centre;
+        let is_local = *data_centre == self.data_centre;
         self.hosts
-            .interval(server.name_hash, &entry.data_centre, is_local, bound)
+            .interval(server.name_hash, data_centre, is_local, bound)
     }
+}
 
-    /// Time until this host may send the backend server a request; `None` if it has no share of
-    /// its rate.
-    pub fn wait(&self, server: &server::Server, now: model::Time) -> Option<time::Duration> {
-        if !server.is_cold(now) {
-            return Some(time::Duration::ZERO);
-        }
-        let interval = self.cold_interval(server)?;
-        let next = server.last_sent.map(|last| last + interval);
-        Some(next.map_or(time::Duration::ZERO, |next| next.saturating_sub(now)))
+/// The whole limit is used on average; what is tolerated beyond it covers the moment in which all
+/// hosts learn of it.
+fn limit_bound(limit: f64) -> RateBound {
+    let beyond = (LIMIT_TOLERANCE_RATIO - 1.0) * limit * LIMIT_TOLERANCE_WINDOW.as_secs_f64();
+    RateBound {
+        rate: limit.max(MIN_LIMITED_RATE),
+        local_share: LOCAL_LIMIT_SHARE,
+        burst: beyond + LIMIT_TOLERANCE_REQUESTS,
     }
 }
 
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -284,22 +284,22 @@
             .map_or(&[], Vec::as_slice)
     }
 
-    /// Total slots of the usable backend servers of a service, by data centre.
-    pub fn usable_slots(
+    /// Sum of `slots` over the usable backend servers of a service, by data centre.
+    pub(super) fn usable_slots(
         &self,
         service: &str,
         now: model::Time,
+        slots: impl Fn(&server::Server) -> f64,
     ) -> collections::BTreeMap<model::DataCentreId, f64> {
-        let mut slots = collections::BTreeMap::new();
+        let mut sums = collections::BTreeMap::new();
         let usable = self
             .servers
             .values()
             .filter(|server| server.entry.service == service && server.is_usable(now));
         for server in usable {
-            *slots.entry(server.entry.data_centre.clone()).or_default() +=
-                f64::from(server.entry.slots);
+            *sums.entry(server.entry.data_centre.clone()).or_default() += slots(server);
         }
-        slots
+        sums
     }
 
     /// Number of known backend servers.
--- a/crates/steering/tests/gateway/members.rs
+++ b/crates/steering/tests/gateway/members.rs
@@ -69,6 +69,7 @@
                     blocks: Vec::new(),
                     shares: Vec::new(),
                     newest: Default::default(),
+                    limits: Vec::new(),
                     contacts: Vec::new(),
                 };
                 let summary = (now_ms % 480 == 0)
@@ -189,6 +190,7 @@
         blocks: Vec::new(),
         shares: Vec::new(),
         newest: Default::default(),
+        limits: Vec::new(),
         contacts: Vec::new(),
     };
     members.receive(gateway::Message::Heartbeat(heartbeat), ms(0));
