Believe a refusal on a kept connection only if it names its request

Report of other operators: a faulty server wrote an earlier refusal once more on a kept connection, and clients were told 'not run, try again' for requests that had run, or these ran at a second server.

Here a repeated refusal that names the earlier request was recognised; one that names none was taken for the answer to the next request (seen: 503, expected 502, with X-Not-Executed and with 421).

Change: on a connection that has carried an earlier request, a refusal without a request id is no valid answer. On a new connection nothing else can be meant, so it counts as before.

--- a/crates/node/src/backend/connection.rs
+++ b/crates/node/src/backend/connection.rs
@@ -14,6 +14,7 @@
     sender: http1::SendRequest<B>,
     number: u64,
     idle_since: time::Instant,
+    has_rested: bool,
     _driver: task::AbortOnDropHandle<()>,
     _open: sync::Arc<()>,
 }
@@ -53,6 +54,7 @@
             sender,
             number: NEXT.fetch_add(1, atomic::Ordering::Relaxed),
             idle_since: time::Instant::now(),
+            has_rested: false,
             _driver: task::AbortOnDropHandle::new(driver),
             _open: open,
         })
@@ -81,10 +83,16 @@
         self.number
     }
 
+    /// Whether it has carried an earlier request.
+    pub(crate) fn is_reused(&self) -> bool {
+        self.has_rested
+    }
+
     /// Marks the connection as idle from now on.
     pub(crate) fn rest(self) -> Connection<B> {
         Connection {
             idle_since: time::Instant::now(),
+            has_rested: true,
             ..self
         }
     }
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -59,6 +59,7 @@
     let req = outgoing_request(attempt, body);
     let attempt_id = attempt_id(attempt.ticket);
     let connection_id = connection.number();
+    let is_reused = connection.is_reused();
     gateway.with_pending_attempts(|pending| pending.register(attempt_id, connection_id));
     let unregister_guard = UnregisterGuard {
         gateway,
@@ -84,7 +85,7 @@
             if disposition != matching::Disposition::Deliver(attempt_id) {
                 return Err(error::Error::Invalid("does not match the request"));
             }
-            let outcome = classify(gateway, &head)?;
+            let outcome = classify(gateway, &head, is_reused)?;
             gateway
                 .connection_pool
                 .release(index, entry.address, connection, keep_alive);
@@ -97,7 +98,7 @@
             if names_other_request(attempt, &head) {
                 return Err(error::Error::Invalid("does not match the request"));
             }
-            let outcome = classify(gateway, &head)?;
+            let outcome = classify(gateway, &head, is_reused)?;
             drop(unregister_guard);
             let left = attempt
                 .client_req
@@ -169,18 +170,25 @@
     named.is_some_and(|id| id.as_bytes() != attempt.client_req.id.as_bytes())
 }
 
-/// Outcome that a response stands for, or why it is not the backend server's own.
+/// Outcome that a response stands for, or why it is not the backend server's own.  On a connection
+/// that is reused, a refusal that names no request may be an earlier one, written once more.
 fn classify(
     gateway: &gateway::Gateway,
     head: &http::response::Parts,
+    is_reused: bool,
 ) -> Result<decisions::Outcome, error::Error> {
     let header_names = &gateway.header_names;
     let has = |name: &header::HeaderName| head.headers.contains_key(name);
-    if head.status == http::StatusCode::MISDIRECTED_REQUEST {
-        return Ok(decisions::Outcome::Misdirected);
-    }
-    if has(&header_names.not_run) {
-        return Ok(decisions::Outcome::Shed);
+    let refusal = match head.status {
+        http::StatusCode::MISDIRECTED_REQUEST => Some(decisions::Outcome::Misdirected),
+        _ if has(&header_names.not_run) => Some(decisions::Outcome::Shed),
+        _ => None,
+    };
+    if let Some(refusal) = refusal {
+        return match is_reused && !has(&header_names.request_id) {
+            true => Err(error::Error::Invalid("refusal names no request")),
+            false => Ok(refusal),
+        };
     }
     if has(&header::CONTENT_ENCODING) {
         return Err(error::Error::Invalid("unexpected Content-Encoding"));
