--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -5,7 +5,9 @@
 use tokio::sync::oneshot;
 use yuccatide_steering::{gateway as decisions, matching, model};
 
-use super::{connection_pool, demand, header_names, log_limit, metrics, store_state, update};
+use super::{
+    connection_pool, demand, header_names, log_limit, metrics, report, state, store_state, update,
+};
 use crate::clock;
 
 /// Time between decisions on waiting requests if no event triggers one earlier.
@@ -55,7 +57,7 @@
     own_data_centre: model::DataCentreId,
     settings: Settings,
     started: model::Time,
-    state: sync::Mutex<State>,
+    state: sync::Mutex<state::State>,
 }
 
 /// A decision on a request, and when it was made.
@@ -64,24 +66,11 @@
     pub(super) at: model::Time,
 }
 
-struct State {
-    route_table: decisions::RouteTable,
-    traffic_splitter: decisions::TrafficSplitter,
-    dispatcher: decisions::Dispatcher,
-    members: decisions::Members,
-    lookup_balancer: decisions::LookupBalancer,
-    demand: demand::DemandEstimator,
-    client_retries: decisions::ClientRetryDetector,
-    pending_attempts: matching::PendingAttempts,
-    decision_senders: collections::HashMap<decisions::Ticket, oneshot::Sender<TimedDecision>>,
-    is_stopping: bool,
-}
-
 impl Gateway {
     /// Creates a gateway that has neither a configuration nor backend servers.
     pub fn new(settings: Settings, header_names: header_names::HeaderNames) -> Gateway {
         let own_data_centre = settings.member.data_centre.clone();
-        let mut state = State {
+        let mut state = state::State {
             route_table: decisions::RouteTable::default(),
             traffic_splitter: decisions::TrafficSplitter::default(),
             dispatcher: decisions::Dispatcher::new(
@@ -137,7 +126,7 @@
                 let missing = state.dispatcher.servers.replace(entries, now);
                 missing
                     .iter()
-                    .for_each(|(id, removal)| self.log_removal(id, *removal));
+                    .for_each(|(id, removal)| report::removal(id, *removal));
             }
             update::Update::Server(entry) => {
                 log::info!(
@@ -149,7 +138,7 @@
             }
             update::Update::ServerRemoved(id) => {
                 let removal = state.dispatcher.servers.remove(&id, now);
-                self.log_removal(&id, removal);
+                report::removal(&id, removal);
             }
             update::Update::EvacuatedDataCentres(data_centres) => {
                 if *state.dispatcher.servers.evacuated() != data_centres {
@@ -183,10 +172,7 @@
             let has_found_hosts = self.has_found_hosts();
             let mut state = self.lock();
             for (id, missing) in state.dispatcher.servers.remove_missing(now) {
-                log::info!(
-                    server = id, missing_ms = missing.as_millis() as u64;
-                    "backend server did not register again; removed"
-                );
+                report::not_registered_again(&id, missing);
             }
             state.drop_dead_in_flight(now);
             if has_found_hosts {
@@ -198,7 +184,7 @@
                 state.demand.end_interval();
                 state.dispatcher.limits_mut().expire(now);
                 state.update_shares(&self.settings, now);
-                self.update_gauges(&state, now);
+                report::update_gauges(&self.metrics, &state, now);
             }
             if state.dispatcher.has_waiting() {
                 self.decide(&mut state, now);
@@ -300,11 +286,11 @@
         match &message {
             decisions::Message::Heartbeat(h) => {
                 self.adopt_news(&mut state, &h.blocks, &h.shares, &h.newest, now);
-                adopt_limits(&mut state, &h.limits, now);
+                state.adopt_limits(&h.limits, now);
             }
             decisions::Message::Summary { summary: s, .. } => {
                 self.adopt_news(&mut state, &s.blocks, &s.shares, &s.newest, now);
-                adopt_limits(&mut state, &s.limits, now);
+                state.adopt_limits(&s.limits, now);
             }
             decisions::Message::Introduction(_) | decisions::Message::Contacts(_) => {}
         }
@@ -323,7 +309,7 @@
     /// Takes over what a message says besides its sender's state.
     fn adopt_news(
         &self,
-        state: &mut State,
+        state: &mut state::State,
         blocks: &[(net::IpAddr, model::DataCentreId)],
         shares: &[decisions::LookupShares],
         newest: &store_state::NewestRevisions,
@@ -430,7 +416,7 @@
         if let Some(signals) = signals
             && let Some(server) = state.dispatcher.record_signals(ticket, signals, now)
         {
-            log_limit_change(&server, signals.limit, time::Duration::ZERO, "answer");
+            report::limit_change(&server, signals.limit, time::Duration::ZERO, "answer");
         }
         state.dispatcher.finish(ticket, outcome, now);
         self.decide(&mut state, now);
@@ -475,12 +461,12 @@
         f(&mut self.lock().pending_attempts)
     }
 
-    fn decide(&self, state: &mut State, now: model::Time) {
+    fn decide(&self, state: &mut state::State, now: model::Time) {
         if !state.dispatcher.has_waiting() {
             return;
         }
         for (ticket, decision) in state.dispatcher.decide(now) {
-            self.log_cold_send(state, &decision, now);
+            report::cold_send(self, state, &decision, now);
             let timed = TimedDecision { decision, at: now };
             if let Some(tx) = state.decision_senders.remove(&ticket)
                 && tx.send(timed).is_err()
@@ -491,191 +477,9 @@
         }
     }
 
-    /// Logs and counts a request that goes to a cold backend server, with the hosts of the data
-    /// centre that this one knows; they share the server's rate.
-    fn log_cold_send(&self, state: &State, decision: &decisions::Decision, now: model::Time) {
-        let decisions::Decision::Send(index, entry) = decision else {
-            return;
-        };
-        let server = state.dispatcher.servers.get(*index);
-        let Some(warm_in) = server.and_then(|server| server.warm_in(now)) else {
-            return;
-        };
-        self.metrics.cold_attempts.inc();
-        if let Some(omitted) = self.admit_log_line("cold") {
-            log::info!(
-                server = entry.id, warm_in_ms = warm_in.as_millis() as u64,
-                live_hosts = state.members.live_host_count(now), omitted;
-                "request sent to a cold backend server"
-            );
-        }
-    }
-
-    fn log_removal(&self, id: &str, removal: decisions::Removal) {
-        match removal {
-            decisions::Removal::Unknown => {}
-            decisions::Removal::Removed => {
-                log::info!(server = id; "backend server entry deleted or invalid; removed");
-            }
-            decisions::Removal::Deferred => {
-                log::info!(
-                    server = id;
-                    "backend server entry deleted or invalid; kept until it had time to register again"
-                );
-            }
-        }
-    }
-
-    fn update_gauges(&self, state: &State, now: model::Time) {
-        let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
-        let servers = &state.dispatcher.servers;
-        let usable = servers
-            .iter()
-            .filter(|(_, server)| server.is_usable(now))
-            .count();
-        let version = state.route_table.version().unwrap_or(0);
-        self.metrics
-            .config_version
-            .set(i64::try_from(version).unwrap_or(i64::MAX));
-        self.metrics
-            .waiting
-            .set(count(state.dispatcher.waiting_count()));
-        self.metrics
-            .hosts
-            .set(count(state.members.live_host_count(now)));
-        self.metrics.servers.set(count(servers.len()));
-        self.metrics.usable_servers.set(count(usable));
-        let limited = state.dispatcher.limits().count();
-        self.metrics.limited_servers.set(count(limited));
-        let missing = servers.iter().filter(|(_, server)| server.is_missing());
-        self.metrics.missing_servers.set(count(missing.count()));
-        self.metrics
-            .store_answers
-            .set(i64::from(servers.is_store_available()));
-    }
-
-    fn lock(&self) -> sync::MutexGuard<'_, State> {
+    fn lock(&self) -> sync::MutexGuard<'_, state::State> {
         self.state
             .lock()
             .unwrap_or_else(sync::PoisonError::into_inner)
     }
 }
-
-/// Takes over the limits of backend servers that another host has seen.
-fn adopt_limits(state: &mut State, news: &[decisions::LimitNews], now: model::Time) {
-    for (server, limit) in state.dispatcher.limits_mut().adopt(news, now) {
-        let known = state.dispatcher.servers.iter();
-        let mut known = known.filter(|(_, known)| known.name_hash == server);
-        let age = news.iter().find(|news| news.server == server);
-        if let (Some((_, known)), Some(age)) = (known.next(), age) {
-            log_limit_change(&known.entry.id, limit, age.age, "host");
-        }
-    }
-}
-
-/// Logs that a backend server has named another limit on its rate, or none any more; `source` is
-/// `answer` for an own attempt, or `host` where another host tells.
-fn log_limit_change(server: &str, limit: Option<f64>, age: time::Duration, source: &'static str) {
-    log::info!(
-        server, limit_per_s = limit, age_ms = age.as_millis() as u64, source;
-        "backend server's limit changed"
-    );
-}
-
-impl State {
-    fn apply_policy(&mut self, policy: decisions::Policy) {
-        let version = policy.version;
-        if !self.route_table.apply(policy) {
-            log::debug!(version; "ignored an older configuration");
-            return;
-        }
-        if let Some(policy) = self.route_table.policy() {
-            self.traffic_splitter.retain(policy);
-            self.client_retries.retain(policy);
-            self.dispatcher.set_services(&policy.services);
-            self.dispatcher.retain_routes(policy);
-        }
-        log::info!(version; "configuration applied");
-    }
-
-    /// Updates the look-up shares of all HTTP host names.
-    fn update_shares(&mut self, settings: &Settings, now: model::Time) {
-        for name in self.route_table.host_names() {
-            let spread = self.capacity_and_demand(&name, settings, now);
-            self.lookup_balancer.update_shares(&name, &spread, now);
-        }
-    }
-
-    /// Drops the requests in progress at hosts that are no longer live.
-    fn drop_dead_in_flight(&mut self, now: model::Time) {
-        let live: collections::HashSet<&str> = self
-            .members
-            .live_heartbeats(now)
-            .map(|heartbeat| heartbeat.member.host.as_str())
-            .collect();
-        self.dispatcher
-            .remote_in_flight
-            .retain(|host| live.contains(host));
-    }
-
-    /// Mean service time of the routes of a service, with their objects cached.
-    fn mean_service_time(
-        &self,
-        routes: &[sync::Arc<decisions::Route>],
-        service: &str,
-    ) -> time::Duration {
-        let times: Vec<time::Duration> = routes
-            .iter()
-            .filter(|route| {
-                route
-                    .weighted_services
-                    .iter()
-                    .any(|part| part.service == service)
-            })
-            .map(|route| self.dispatcher.cached_service_time(route))
-            .collect();
-        times.iter().sum::<time::Duration>() / u32::try_from(times.len().max(1)).unwrap_or(1)
-    }
-
-    /// Capacity and demand, in slots, of the services of an HTTP host name.
-    fn capacity_and_demand(
-        &self,
-        name: &str,
-        settings: &Settings,
-        now: model::Time,
-    ) -> decisions::CapacityAndDemand {
-        let routes = self.route_table.routes(name);
-        let services: collections::BTreeSet<model::ServiceId> = routes
-            .iter()
-            .flat_map(|route| &route.weighted_services)
-            .map(|part| part.service.clone())
-            .collect();
-        let capacity: collections::BTreeMap<_, _> = services
-            .iter()
-            .map(|service| {
-                let service_time = self.mean_service_time(routes, service);
-                let slots = self.dispatcher.usable_slots(service, service_time, now);
-                (service.clone(), slots)
-            })
-            .collect();
-        let own = self.demand.loads();
-        let local = self
-            .members
-            .live_heartbeats(now)
-            .flat_map(|heartbeat| &heartbeat.loads);
-        let remote = self
-            .members
-            .live_summaries(now)
-            .flat_map(|summary| &summary.loads);
-        let loads = own.iter().chain(local).chain(remote);
-        let loads = loads
-            .filter(|load| services.contains(&load.service))
-            .cloned()
-            .collect();
-        decisions::CapacityAndDemand {
-            capacity,
-            loads,
-            regions: settings.regions.clone(),
-        }
-    }
-}
--- /dev/null
+++ b/crates/node/src/gateway/report.rs
@@ -0,0 +1,96 @@
+//! Log lines and gauges of what a host believes and does.
+
+use std::time;
+
+use yuccatide_steering::{gateway as decisions, model};
+
+use super::{gateway, metrics, state};
+
+/// Logs and counts a request that goes to a cold backend server, with the hosts of the data
+/// centre that this one knows; they share the server's rate.
+pub(super) fn cold_send(
+    gateway: &gateway::Gateway,
+    state: &state::State,
+    decision: &decisions::Decision,
+    now: model::Time,
+) {
+    let decisions::Decision::Send(index, entry) = decision else {
+        return;
+    };
+    let server = state.dispatcher.servers.get(*index);
+    let Some(warm_in) = server.and_then(|server| server.warm_in(now)) else {
+        return;
+    };
+    gateway.metrics.cold_attempts.inc();
+    if let Some(omitted) = gateway.admit_log_line("cold") {
+        log::info!(
+            server = entry.id, warm_in_ms = warm_in.as_millis() as u64,
+            live_hosts = state.members.live_host_count(now), omitted;
+            "request sent to a cold backend server"
+        );
+    }
+}
+
+/// Logs what became of a backend server whose entry was deleted.
+pub(super) fn removal(id: &str, removal: decisions::Removal) {
+    match removal {
+        decisions::Removal::Unknown => {}
+        decisions::Removal::Removed => {
+            log::info!(server = id; "backend server entry deleted or invalid; removed");
+        }
+        decisions::Removal::Deferred => {
+            log::info!(
+                server = id;
+                "backend server entry deleted or invalid; kept until it had time to register again"
+            );
+        }
+    }
+}
+
+/// Logs that a backend server, whose entry was missing for this time after an outage of the store,
+/// was removed.
+pub(super) fn not_registered_again(id: &str, missing: time::Duration) {
+    log::info!(
+        server = id, missing_ms = missing.as_millis() as u64;
+        "backend server did not register again; removed"
+    );
+}
+
+/// Logs that a backend server has named another limit on its rate, or none any more; `source` is
+/// `answer` for an own attempt, or `host` where another host tells.
+pub(super) fn limit_change(
+    server: &str,
+    limit: Option<f64>,
+    age: time::Duration,
+    source: &'static str,
+) {
+    log::info!(
+        server, limit_per_s = limit, age_ms = age.as_millis() as u64, source;
+        "backend server's limit changed"
+    );
+}
+
+/// Sets the gauges to what the host believes.
+pub(super) fn update_gauges(metrics: &metrics::Metrics, state: &state::State, now: model::Time) {
+    let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+    let servers = &state.dispatcher.servers;
+    let usable = servers
+        .iter()
+        .filter(|(_, server)| server.is_usable(now))
+        .count();
+    let version = state.route_table.version().unwrap_or(0);
+    metrics
+        .config_version
+        .set(i64::try_from(version).unwrap_or(i64::MAX));
+    metrics.waiting.set(count(state.dispatcher.waiting_count()));
+    metrics.hosts.set(count(state.members.live_host_count(now)));
+    metrics.servers.set(count(servers.len()));
+    metrics.usable_servers.set(count(usable));
+    let limited = state.dispatcher.limits().count();
+    metrics.limited_servers.set(count(limited));
+    let missing = servers.iter().filter(|(_, server)| server.is_missing());
+    metrics.missing_servers.set(count(missing.count()));
+    metrics
+        .store_answers
+        .set(i64::from(servers.is_store_available()));
+}
--- /dev/null
+++ b/crates/node/src/gateway/state.rs
@@ -0,0 +1,133 @@
+//! The state of a gateway that its lock guards.
+
+use std::{collections, sync, time};
+
+use tokio::sync::oneshot;
+use yuccatide_steering::{gateway as decisions, matching, model};
+
+use super::{demand, gateway, report};
+
+/// Decisions and what they rest on.
+pub(super) struct State {
+    pub(super) route_table: decisions::RouteTable,
+    pub(super) traffic_splitter: decisions::TrafficSplitter,
+    pub(super) dispatcher: decisions::Dispatcher,
+    pub(super) members: decisions::Members,
+    pub(super) lookup_balancer: decisions::LookupBalancer,
+    pub(super) demand: demand::DemandEstimator,
+    pub(super) client_retries: decisions::ClientRetryDetector,
+    pub(super) pending_attempts: matching::PendingAttempts,
+    pub(super) decision_senders:
+        collections::HashMap<decisions::Ticket, oneshot::Sender<gateway::TimedDecision>>,
+    pub(super) is_stopping: bool,
+}
+
+impl State {
+    /// Takes over the limits of backend servers that another host has seen.
+    pub(super) fn adopt_limits(&mut self, news: &[decisions::LimitNews], now: model::Time) {
+        for (server, limit) in self.dispatcher.limits_mut().adopt(news, now) {
+            let known = self.dispatcher.servers.iter();
+            let mut known = known.filter(|(_, known)| known.name_hash == server);
+            let age = news.iter().find(|news| news.server == server);
+            if let (Some((_, known)), Some(age)) = (known.next(), age) {
+                report::limit_change(&known.entry.id, limit, age.age, "host");
+            }
+        }
+    }
+
+    pub(super) fn apply_policy(&mut self, policy: decisions::Policy) {
+        let version = policy.version;
+        if !self.route_table.apply(policy) {
+            log::debug!(version; "ignored an older configuration");
+            return;
+        }
+        if let Some(policy) = self.route_table.policy() {
+            self.traffic_splitter.retain(policy);
+            self.client_retries.retain(policy);
+            self.dispatcher.set_services(&policy.services);
+            self.dispatcher.retain_routes(policy);
+        }
+        log::info!(version; "configuration applied");
+    }
+
+    /// Updates the look-up shares of all HTTP host names.
+    pub(super) fn update_shares(&mut self, settings: &gateway::Settings, now: model::Time) {
+        for name in self.route_table.host_names() {
+            let spread = self.capacity_and_demand(&name, settings, now);
+            self.lookup_balancer.update_shares(&name, &spread, now);
+        }
+    }
+
+    /// Drops the requests in progress at hosts that are no longer live.
+    pub(super) fn drop_dead_in_flight(&mut self, now: model::Time) {
+        let live: collections::HashSet<&str> = self
+            .members
+            .live_heartbeats(now)
+            .map(|heartbeat| heartbeat.member.host.as_str())
+            .collect();
+        self.dispatcher
+            .remote_in_flight
+            .retain(|host| live.contains(host));
+    }
+
+    /// Mean service time of the routes of a service, with their objects cached.
+    fn mean_service_time(
+        &self,
+        routes: &[sync::Arc<decisions::Route>],
+        service: &str,
+    ) -> time::Duration {
+        let times: Vec<time::Duration> = routes
+            .iter()
+            .filter(|route| {
+                route
+                    .weighted_services
+                    .iter()
+                    .any(|part| part.service == service)
+            })
+            .map(|route| self.dispatcher.cached_service_time(route))
+            .collect();
+        times.iter().sum::<time::Duration>() / u32::try_from(times.len().max(1)).unwrap_or(1)
+    }
+
+    /// Capacity and demand, in slots, of the services of an HTTP host name.
+    fn capacity_and_demand(
+        &self,
+        name: &str,
+        settings: &gateway::Settings,
+        now: model::Time,
+    ) -> decisions::CapacityAndDemand {
+        let routes = self.route_table.routes(name);
+        let services: collections::BTreeSet<model::ServiceId> = routes
+            .iter()
+            .flat_map(|route| &route.weighted_services)
+            .map(|part| part.service.clone())
+            .collect();
+        let capacity: collections::BTreeMap<_, _> = services
+            .iter()
+            .map(|service| {
+                let service_time = self.mean_service_time(routes, service);
+                let slots = self.dispatcher.usable_slots(service, service_time, now);
+                (service.clone(), slots)
+            })
+            .collect();
+        let own = self.demand.loads();
+        let local = self
+            .members
+            .live_heartbeats(now)
+            .flat_map(|heartbeat| &heartbeat.loads);
+        let remote = self
+            .members
+            .live_summaries(now)
+            .flat_map(|summary| &summary.loads);
+        let loads = own.iter().chain(local).chain(remote);
+        let loads = loads
+            .filter(|load| services.contains(&load.service))
+            .cloned()
+            .collect();
+        decisions::CapacityAndDemand {
+            capacity,
+            loads,
+            regions: settings.regions.clone(),
+        }
+    }
+}
