Keep signals of servers in one kind of book

An answer made before a server named its limit, but read after the one that named it, lifted the limit for a moment: an answer without the signal now lifts it only if its request was sent after the signal was seen (test fails without it: the function did not exist).

--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -24,13 +24,11 @@
 
 impl State {
     /// Takes over the limits of backend servers that another host has seen.
-    pub(super) fn adopt_limits(&mut self, news: &[decisions::LimitNews], now: model::Time) {
-        for (server, limit) in self.dispatcher.limits_mut().adopt(news, now) {
-            let known = self.dispatcher.servers.iter();
-            let mut known = known.filter(|(_, known)| known.name_hash == server);
-            let age = news.iter().find(|news| news.server == server);
-            if let (Some((_, known)), Some(age)) = (known.next(), age) {
-                report::limit_change(&known.entry.id, limit, age.age, "host");
+    pub(super) fn adopt_limits(&mut self, news: &[decisions::SignalNews<f64>], now: model::Time) {
+        for news in self.dispatcher.limits_mut().adopt(news, now) {
+            let mut servers = self.dispatcher.servers.iter();
+            if let Some((_, server)) = servers.find(|(_, s)| s.name_hash == news.server) {
+                report::limit_change(&server.entry.id, news.value, news.age, "host");
             }
         }
     }
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -3,8 +3,8 @@
 use std::{collections, time};
 
 use super::{
-    admission, fairness, outcome, placement, policy, rate_limit, remote_in_flight, request,
-    retry_budget, send_shares, server, server_set, service_times, signals,
+    admission, fairness, outcome, placement, policy, remote_in_flight, request, retry_budget,
+    send_shares, server, server_set, service_times, signal_book, signals,
 };
 use crate::model;
 
@@ -59,6 +59,7 @@
     server: server_set::ServerIndex,
     /// Incarnation of the server that was chosen.
     incarnation: model::Incarnation,
+    started: model::Time,
     req: request::Request,
 }
 
@@ -102,7 +103,7 @@
                 hosts: send_shares::KnownHosts::default(),
                 cold_tolerance: DEFAULT_COLD_TOLERANCE,
                 services: collections::BTreeMap::new(),
-                limits: rate_limit::RateLimits::default(),
+                limits: signal_book::SignalBook::default(),
             },
             limits,
             last_ticket: 0,
@@ -258,17 +259,23 @@
         }
         self.shares
             .limits
-            .record(server.name_hash, attempt.incarnation, signals.limit, now)
+            .record_answer(
+                server.name_hash,
+                attempt.incarnation,
+                signals.limit,
+                attempt.started,
+                now,
+            )
             .then(|| server.entry.id.clone())
     }
 
     /// Limits that backend servers have named.
-    pub fn limits(&self) -> &rate_limit::RateLimits {
+    pub fn limits(&self) -> &signal_book::SignalBook<f64> {
         &self.shares.limits
     }
 
     /// Returns a mutable reference to the limits that backend servers have named.
-    pub fn limits_mut(&mut self) -> &mut rate_limit::RateLimits {
+    pub fn limits_mut(&mut self) -> &mut signal_book::SignalBook<f64> {
         &mut self.shares.limits
     }
 
@@ -423,6 +430,7 @@
         let attempt = Attempt {
             server: choice.server,
             incarnation: entry.incarnation,
+            started: now,
             req,
         };
         self.attempts.insert(ticket, attempt);
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use super::{rate_limit, send_shares, store_readers};
+use super::{send_shares, signal_book, store_readers};
 use crate::model;
 
 /// Interval between heartbeats within a data centre.
@@ -78,7 +78,7 @@
     /// Newest known revision of each kind of object in the store.
     pub newest: collections::BTreeMap<String, u64>,
     /// Limits that backend servers have named.
-    pub limits: Vec<rate_limit::LimitNews>,
+    pub limits: Vec<signal_book::SignalNews<f64>>,
     /// Some other live hosts of its data centre, in turn.
     pub contacts: Vec<Member>,
 }
@@ -125,7 +125,7 @@
     /// Newest known revision of each kind of object in the store.
     pub newest: collections::BTreeMap<String, u64>,
     /// Limits that backend servers have named.
-    pub limits: Vec<rate_limit::LimitNews>,
+    pub limits: Vec<signal_book::SignalNews<f64>>,
 }
 
 /// A message between hosts.
--- a/crates/steering/src/gateway/send_shares.rs
+++ b/crates/steering/src/gateway/send_shares.rs
@@ -8,7 +8,7 @@
 
 use xxhash_rust::xxh3;
 
-use super::{policy, rate_limit, server};
+use super::{policy, server, signal_book};
 use crate::model;
 
 /// Hash of a host's name.
@@ -138,7 +138,7 @@
     pub hosts: KnownHosts,
     pub cold_tolerance: ColdTolerance,
     pub services: collections::BTreeMap<model::ServiceId, policy::Service>,
-    pub limits: rate_limit::RateLimits,
+    pub limits: signal_book::SignalBook<f64>,
 }
 
 /// This host's share of a backend server's rate.
@@ -181,7 +181,7 @@
 
     /// Limit that the backend server has named, in requests per second from all hosts together.
     pub fn limit(&self, server: &server::Server) -> Option<f64> {
-        self.limits.rate(server.name_hash, server.entry.incarnation)
+        self.limits.get(server.name_hash, server.entry.incarnation)
     }
 
     fn cold_bound(&self, server: &server::Server) -> Option<RateBound> {
--- a/crates/steering/tests/gateway/limits.rs
+++ b/crates/steering/tests/gateway/limits.rs
@@ -137,35 +137,34 @@
     };
     assert!(say(&mut dispatcher, Some(100.0), 0));
     assert!(!say(&mut dispatcher, Some(100.0), 100));
-    assert_eq!(dispatcher.limits().rate(server, 1), Some(100.0));
+    assert_eq!(dispatcher.limits().get(server, 1), Some(100.0));
     assert!(say(&mut dispatcher, None, 200));
-    assert_eq!(dispatcher.limits().rate(server, 1), None);
+    assert_eq!(dispatcher.limits().get(server, 1), None);
     assert!(say(&mut dispatcher, Some(7.0), 300));
-    assert_eq!(dispatcher.limits().rate(server, 2), None);
+    assert_eq!(dispatcher.limits().get(server, 2), None);
 }
 
 #[test]
 fn the_newest_word_of_a_limit_counts_whoever_heard_it() {
-    let news = |rate, incarnation, age| gateway::LimitNews {
+    let news = |value, incarnation, age| gateway::SignalNews {
         server: 1,
         incarnation,
-        rate,
+        value,
         age: ms(age),
     };
-    let mut limits = gateway::RateLimits::default();
-    assert_eq!(
-        limits.adopt(&[news(Some(5.0), 1, 300)], ms(1000)),
-        [(1, Some(5.0))]
-    );
+    let mut limits = gateway::SignalBook::default();
+    let adopt =
+        |limits: &mut gateway::SignalBook<f64>, news, at| limits.adopt(&[news], ms(at)).len();
+    assert_eq!(adopt(&mut limits, news(Some(5.0), 1, 300), 1000), 1);
     // Older than what is known.
-    assert_eq!(limits.adopt(&[news(Some(9.0), 1, 500)], ms(1000)), []);
-    assert_eq!(limits.rate(1, 1), Some(5.0));
-    assert_eq!(limits.adopt(&[news(None, 1, 100)], ms(1000)), [(1, None)]);
-    assert_eq!(limits.rate(1, 1), None);
+    assert_eq!(adopt(&mut limits, news(Some(9.0), 1, 500), 1000), 0);
+    assert_eq!(limits.get(1, 1), Some(5.0));
+    assert_eq!(adopt(&mut limits, news(None, 1, 100), 1000), 1);
+    assert_eq!(limits.get(1, 1), None);
     // Of an incarnation that has ended.
     assert!(limits.record(1, 2, Some(3.0), ms(1000)));
-    assert_eq!(limits.adopt(&[news(Some(9.0), 1, 0)], ms(2000)), []);
-    assert_eq!(limits.rate(1, 2), Some(3.0));
+    assert_eq!(adopt(&mut limits, news(Some(9.0), 1, 0), 2000), 0);
+    assert_eq!(limits.get(1, 2), Some(3.0));
     assert_eq!(limits.news(ms(2000))[0].age, ms(1000));
     // Limits end that nobody has seen confirmed for long.
     limits.expire(ms(62_000));
@@ -178,3 +177,14 @@
     let slots = dispatcher.usable_slots("log", ms(500), ms(0));
     assert_eq!((slots["a1"], slots["b1"]), (1.0, 9.0));
 }
+
+/// Answers that were made before the server named its limit may be read after it.
+#[test]
+fn an_answer_to_an_earlier_request_lifts_no_limit() {
+    let mut limits = gateway::SignalBook::default();
+    assert!(limits.record_answer(1, 1, Some(5.0), ms(0), ms(500)));
+    assert!(!limits.record_answer(1, 1, None, ms(100), ms(600)));
+    assert_eq!(limits.get(1, 1), Some(5.0));
+    assert!(limits.record_answer(1, 1, None, ms(700), ms(900)));
+    assert_eq!(limits.get(1, 1), None);
+}
