Send nothing more to a server that says that it leaves (DRAIN)

No code read the header.

Change: from the moment in which the answer is read, the server gets no new request; those that wait are placed again, one on its way is checked before it is sent, the connection is closed, and look-ups don't count the server. The mark belongs to an incarnation and spreads with its age by heartbeats and summaries as long as the store has not confirmed it. An answer to a request sent before the mark does not lift it. Nothing but the server itself ends it: ten seconds after its last word, if the store still calls it ready, its status is checked, which is no request.

Where a whole service leaves at once, its requests are refused; servers that leave are not used as a last resort.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -39,6 +39,7 @@
 pub(super) struct ServerResponse {
     pub(super) response: response::Response,
     pub(super) outcome: decisions::Outcome,
+    pub(super) signals: decisions::ServerSignals,
 }
 
 /// Sends a request to a backend server and reads its response.
@@ -74,6 +75,7 @@
     let response = connection.send(req).await?;
     let (head, incoming) = response.into_parts();
     let keep_alive = keep_alive_timeout(&head.headers);
+    let signals = (gateway.header_names.signals)(&head.headers);
     match body::read_buffered(incoming)
         .await
         .map_err(broken_connection)?
@@ -86,12 +88,15 @@
                 return Err(error::Error::Invalid("does not match the request"));
             }
             let outcome = classify(gateway, &head, is_reused)?;
-            gateway
-                .connection_pool
-                .release(index, entry.address, connection, keep_alive);
+            if !signals.is_leaving {
+                gateway
+                    .connection_pool
+                    .release(index, entry.address, connection, keep_alive);
+            }
             Ok(ServerResponse {
                 response: client_response(head, body::full(bytes)),
                 outcome,
+                signals,
             })
         }
         body::ReadBody::Partial(bytes, rest) => {
@@ -109,6 +114,7 @@
             Ok(ServerResponse {
                 response: client_response(head, body),
                 outcome,
+                signals,
             })
         }
     }
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -297,10 +297,7 @@
             .store(false, atomic::Ordering::Relaxed);
         guard.disarm();
         let (outcome, signals) = match &result {
-            Ok(received) => (
-                received.outcome,
-                Some((gateway.header_names.signals)(received.response.headers())),
-            ),
+            Ok(received) => (received.outcome, Some(received.signals)),
             Err(e) => (e.outcome(), None),
         };
         gateway.finish_attempt(guard.ticket, outcome, signals);
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -6,7 +6,8 @@
 use yuccatide_steering::{gateway as decisions, matching, model};
 
 use super::{
-    connection_pool, demand, header_names, log_limit, metrics, report, state, store_state, update,
+    connection_pool, demand, header_names, log_limit, metrics, report, state, status_check,
+    store_state, update,
 };
 use crate::clock;
 
@@ -16,6 +17,9 @@
 /// Time between updates of the hosts that share the rates of backend servers.
 const HOSTS_UPDATE_INTERVAL: time::Duration = time::Duration::from_millis(100);
 
+/// Time between looks for backend servers whose status is to be checked.
+const STATUS_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// Time between evictions of unusable idle connections.
 const EVICTION_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
@@ -187,7 +191,7 @@
             if last_sample.elapsed() >= demand::SAMPLE_INTERVAL {
                 last_sample = time::Instant::now();
                 state.demand.end_interval();
-                state.dispatcher.limits_mut().expire(now);
+                state.dispatcher.expire_signals(now);
                 state.update_shares(&self.settings, now);
                 report::update_gauges(&self.metrics, &state, now);
             }
@@ -202,6 +206,27 @@
         }
     }
 
+    /// Checks the status of backend servers that have long said that they leave. Never returns.
+    pub async fn run_status_checks(&self) {
+        loop {
+            tokio::time::sleep(STATUS_CHECK_INTERVAL).await;
+            let due = self.lock().dispatcher.leaving_to_check(self.clock.now());
+            for (index, entry) in due {
+                let path = self.lock().health_check(&entry.service);
+                let status = status_check::check(&self.header_names, &entry, &path).await;
+                let is_leaving = !matches!(status, Ok(true));
+                let now = self.clock.now();
+                if self
+                    .lock()
+                    .dispatcher
+                    .record_check(index, &entry, is_leaving, now)
+                {
+                    report::leaving_change(&entry.id, is_leaving, time::Duration::ZERO, "status");
+                }
+            }
+        }
+    }
+
     /// Whether look-ups may return this host: it has a configuration and is not stopping. After a
     /// stop has begun, the frontend still accepts connections for `STOP_ACCEPT_WINDOW`.
     pub fn is_ready(&self) -> bool {
@@ -268,6 +293,7 @@
             },
             newest: self.store_state.newest_revisions(),
             limits: state.dispatcher.limits().news(now),
+            leaving: state.dispatcher.leaving_news(now),
             contacts,
         };
         let summary = include_summary
@@ -291,11 +317,11 @@
         match &message {
             decisions::Message::Heartbeat(h) => {
                 self.adopt_news(&mut state, &h.blocks, &h.shares, &h.newest, now);
-                state.adopt_limits(&h.limits, now);
+                state.adopt_signals(&h.limits, &h.leaving, now);
             }
             decisions::Message::Summary { summary: s, .. } => {
                 self.adopt_news(&mut state, &s.blocks, &s.shares, &s.newest, now);
-                state.adopt_limits(&s.limits, now);
+                state.adopt_signals(&s.limits, &s.leaving, now);
             }
             decisions::Message::Introduction(_) | decisions::Message::Contacts(_) => {}
         }
@@ -419,9 +445,15 @@
             self.metrics.record_attempt(service, outcome);
         }
         if let Some(signals) = signals
-            && let Some(server) = state.dispatcher.record_signals(ticket, signals, now)
+            && let Some((server, change)) = state.dispatcher.record_signals(ticket, signals, now)
         {
-            report::limit_change(&server, signals.limit, time::Duration::ZERO, "answer");
+            let age = time::Duration::ZERO;
+            if change.limit {
+                report::limit_change(&server, signals.limit, age, "answer");
+            }
+            if change.is_leaving {
+                report::leaving_change(&server, signals.is_leaving, age, "answer");
+            }
         }
         state.dispatcher.finish(ticket, outcome, now);
         self.decide(&mut state, now);
--- a/crates/node/src/gateway/header_names.rs
+++ b/crates/node/src/gateway/header_names.rs
@@ -17,6 +17,8 @@
     pub signature: header::HeaderName,
     /// Id of the backend server that a request is addressed to.
     pub target: header::HeaderName,
+    /// Name of the backend server that tells its status.
+    pub instance: header::HeaderName,
     /// Decodes what a backend server says of itself in an answer.
     pub signals: fn(&header::HeaderMap) -> gateway::ServerSignals,
     /// Present if the backend server has not run the request.
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -71,6 +71,7 @@
     pub(super) usable_servers: gauge::Gauge,
     pub(super) missing_servers: gauge::Gauge,
     pub(super) limited_servers: gauge::Gauge,
+    pub(super) leaving_servers: gauge::Gauge,
     pub(super) store_answers: gauge::Gauge,
     pub(super) send_delay: histogram::Histogram,
     pub(super) cold_attempts: counter::Counter,
@@ -97,6 +98,7 @@
             usable_servers: gauge::Gauge::default(),
             missing_servers: gauge::Gauge::default(),
             limited_servers: gauge::Gauge::default(),
+            leaving_servers: gauge::Gauge::default(),
             send_delay: histogram::Histogram::new(SEND_DELAY_BUCKETS_S),
             cold_attempts: counter::Counter::default(),
             store_answers: gauge::Gauge::default(),
@@ -166,6 +168,11 @@
             "Backend servers that name a limit on their rate",
             self.limited_servers.clone(),
         );
+        registry.register(
+            "leaving_servers",
+            "Backend servers that have said in an answer that they leave",
+            self.leaving_servers.clone(),
+        );
         registry.register(
             "send_delay_seconds",
             "Time from the choice of a backend server until the request is sent to it",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod report;
 mod response;
 mod state;
+mod status_check;
 mod store_copy;
 mod store_state;
 mod update;
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -70,14 +70,25 @@
     );
 }
 
+/// Logs that a backend server says that it leaves, or no longer does; `source` is `answer` for an own
+/// attempt, `status` for a check of its status, or `host` where another host tells.
+pub(super) fn leaving_change(
+    server: &str,
+    is_leaving: bool,
+    age: time::Duration,
+    source: &'static str,
+) {
+    log::info!(
+        server, is_leaving, age_ms = age.as_millis() as u64, source;
+        "backend server's leaving mark changed"
+    );
+}
+
 /// Sets the gauges to what the host believes.
 pub(super) fn update_gauges(metrics: &metrics::Metrics, state: &state::State, now: model::Time) {
     let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
     let servers = &state.dispatcher.servers;
-    let usable = servers
-        .iter()
-        .filter(|(_, server)| server.is_usable(now))
-        .count();
+    let usable = state.dispatcher.usable_count(now);
     let version = state.route_table.version().unwrap_or(0);
     metrics
         .config_version
@@ -86,6 +97,9 @@
     metrics.hosts.set(count(state.members.live_host_count(now)));
     metrics.servers.set(count(servers.len()));
     metrics.usable_servers.set(count(usable));
+    metrics
+        .leaving_servers
+        .set(count(state.dispatcher.leaving().count()));
     let limited = state.dispatcher.limits().count();
     metrics.limited_servers.set(count(limited));
     let missing = servers.iter().filter(|(_, server)| server.is_missing());
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -23,16 +23,39 @@
 }
 
 impl State {
-    /// Takes over the limits of backend servers that another host has seen.
-    pub(super) fn adopt_limits(&mut self, news: &[decisions::SignalNews<f64>], now: model::Time) {
-        for news in self.dispatcher.limits_mut().adopt(news, now) {
-            let mut servers = self.dispatcher.servers.iter();
-            if let Some((_, server)) = servers.find(|(_, s)| s.name_hash == news.server) {
-                report::limit_change(&server.entry.id, news.value, news.age, "host");
+    /// Takes over what another host has seen of backend servers' signals.
+    pub(super) fn adopt_signals(
+        &mut self,
+        limits: &[decisions::SignalNews<f64>],
+        leaving: &[decisions::SignalNews<()>],
+        now: model::Time,
+    ) {
+        for news in self.dispatcher.limits_mut().adopt(limits, now) {
+            if let Some(server) = self.server_named(news.server) {
+                report::limit_change(server, news.value, news.age, "host");
+            }
+        }
+        for news in self.dispatcher.leaving_mut().adopt(leaving, now) {
+            if let Some(server) = self.server_named(news.server) {
+                report::leaving_change(server, news.value.is_some(), news.age, "host");
             }
         }
     }
 
+    /// Name of the backend server whose name has this hash.
+    fn server_named(&self, hash: u64) -> Option<&str> {
+        let mut servers = self.dispatcher.servers.iter();
+        let (_, server) = servers.find(|(_, server)| server.name_hash == hash)?;
+        Some(&server.entry.id)
+    }
+
+    /// Path at which the backend servers of a service tell their status.
+    pub(super) fn health_check(&self, service: &str) -> String {
+        let policy = self.route_table.policy();
+        let service = policy.and_then(|policy| policy.services.get(service));
+        service.map_or(String::new(), |service| service.health_check.clone())
+    }
+
     pub(super) fn apply_policy(&mut self, policy: decisions::Policy) {
         let version = policy.version;
         if !self.route_table.apply(policy) {
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -17,6 +17,14 @@
     slack: 5.0,
 };
 
+/// Time for which a limit holds that no host has seen confirmed.  A backend server with a limit
+/// still gets requests, whose answers confirm or lift it.
+const MAX_LIMIT_AGE: time::Duration = time::Duration::from_secs(60);
+
+/// Time between checks of a backend server that has said that it leaves, but is still registered as
+/// ready; most have ended by the first one.
+const LEAVING_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(10);
+
 /// Time after which a client should retry that this host can't serve because other hosts use up the
 /// rates of the backend servers.
 const NO_SHARE_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
@@ -104,6 +112,7 @@
                 cold_tolerance: DEFAULT_COLD_TOLERANCE,
                 services: collections::BTreeMap::new(),
                 limits: signal_book::SignalBook::default(),
+                leaving: signal_book::SignalBook::default(),
             },
             limits,
             last_ticket: 0,
@@ -232,7 +241,9 @@
         attempt
             .and_then(|attempt| Some((attempt, self.servers.get(attempt.server)?)))
             .is_some_and(|(attempt, server)| {
-                server.accepts_requests() && server.entry.incarnation == attempt.incarnation
+                server.accepts_requests()
+                    && !self.shares.is_leaving(server)
+                    && server.entry.incarnation == attempt.incarnation
             })
     }
 
@@ -242,13 +253,13 @@
     }
 
     /// Records what a backend server said of itself in the answer to an attempt.  Returns the server
-    /// if its limit has changed.
+    /// and what has changed, if anything has.
     pub fn record_signals(
         &mut self,
         ticket: Ticket,
         signals: signals::ServerSignals,
         now: model::Time,
-    ) -> Option<model::ServerId> {
+    ) -> Option<(model::ServerId, signals::SignalChange)> {
         let attempt = self.attempts.get(&ticket)?;
         let server = self.servers.get_mut(attempt.server)?;
         if server.entry.incarnation != attempt.incarnation {
@@ -257,16 +268,25 @@
         if let Some(requests) = signals.load {
             server.record_report(requests, now);
         }
-        self.shares
-            .limits
-            .record_answer(
-                server.name_hash,
-                attempt.incarnation,
+        let (name, incarnation) = (server.name_hash, attempt.incarnation);
+        let change = signals::SignalChange {
+            limit: self.shares.limits.record_answer(
+                name,
+                incarnation,
                 signals.limit,
                 attempt.started,
                 now,
-            )
-            .then(|| server.entry.id.clone())
+            ),
+            is_leaving: self.shares.leaving.record_answer(
+                name,
+                incarnation,
+                signals.is_leaving.then_some(()),
+                attempt.started,
+                now,
+            ),
+        };
+        let has_changed = change != signals::SignalChange::default();
+        has_changed.then(|| (server.entry.id.clone(), change))
     }
 
     /// Limits that backend servers have named.
@@ -287,13 +307,91 @@
         service_time: time::Duration,
         now: model::Time,
     ) -> collections::BTreeMap<model::DataCentreId, f64> {
-        self.servers.usable_slots(service, now, |server| {
+        self.servers.slots(service, |server| {
             let slots = f64::from(server.entry.slots);
             let limit = self.shares.limit(server);
-            limit.map_or(slots, |limit| slots.min(limit * service_time.as_secs_f64()))
+            let slots = limit.map_or(slots, |limit| slots.min(limit * service_time.as_secs_f64()));
+            self.shares.is_usable(server, now).then_some(slots)
         })
     }
 
+    /// Number of backend servers that may get requests.
+    pub fn usable_count(&self, now: model::Time) -> usize {
+        let servers = self.servers.iter();
+        servers
+            .filter(|(_, server)| self.shares.is_usable(server, now))
+            .count()
+    }
+
+    /// Backend servers that have said that they leave.
+    pub fn leaving(&self) -> &signal_book::SignalBook<()> {
+        &self.shares.leaving
+    }
+
+    /// Returns a mutable reference to the backend servers that have said that they leave.
+    pub fn leaving_mut(&mut self) -> &mut signal_book::SignalBook<()> {
+        &mut self.shares.leaving
+    }
+
+    /// What to tell other hosts of servers that leave: only what the store has not confirmed.
+    pub fn leaving_news(&self, now: model::Time) -> Vec<signal_book::SignalNews<()>> {
+        let mut news = self.shares.leaving.news(now);
+        news.retain(|news| {
+            let mut servers = self.servers.iter();
+            servers.any(|(_, server)| server.name_hash == news.server && server.accepts_requests())
+        });
+        news
+    }
+
+    /// Backend servers that have long said that they leave, while the store calls them ready.  The
+    /// server's own status tells whether the mark still holds; nothing else ends it.
+    pub fn leaving_to_check(
+        &self,
+        now: model::Time,
+    ) -> Vec<(server_set::ServerIndex, server::ServerEntry)> {
+        let leaving = &self.shares.leaving;
+        self.servers
+            .iter()
+            .filter(|(_, server)| server.accepts_requests())
+            .filter(|(_, server)| {
+                leaving
+                    .said_at(server.name_hash, server.entry.incarnation)
+                    .is_some_and(|at| now >= at + LEAVING_CHECK_INTERVAL)
+            })
+            .map(|(index, server)| (index, server.entry.clone()))
+            .collect()
+    }
+
+    /// Records the status of a backend server that had said that it leaves; returns whether that
+    /// has changed.
+    pub fn record_check(
+        &mut self,
+        index: server_set::ServerIndex,
+        entry: &server::ServerEntry,
+        is_leaving: bool,
+        now: model::Time,
+    ) -> bool {
+        let Some(server) = self.servers.get(index) else {
+            return false;
+        };
+        let value = is_leaving.then_some(());
+        self.shares
+            .leaving
+            .record(server.name_hash, entry.incarnation, value, now)
+    }
+
+    /// Drops signals that have ended.
+    pub fn expire_signals(&mut self, now: model::Time) {
+        self.shares.limits.expire(MAX_LIMIT_AGE, now);
+        let known: collections::HashSet<(u64, model::Incarnation)> = self
+            .servers
+            .iter()
+            .map(|(_, server)| (server.name_hash, server.entry.incarnation))
+            .collect();
+        let leaving = &mut self.shares.leaving;
+        leaving.retain(|server, incarnation| known.contains(&(server, incarnation)));
+    }
+
     /// Cancels a request that waits or is in progress.
     pub fn abandon(&mut self, ticket: Ticket, now: model::Time) {
         for queue in self.waiting.values_mut() {
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -79,6 +79,8 @@
     pub newest: collections::BTreeMap<String, u64>,
     /// Limits that backend servers have named.
     pub limits: Vec<signal_book::SignalNews<f64>>,
+    /// Backend servers that have said that they leave.
+    pub leaving: Vec<signal_book::SignalNews<()>>,
     /// Some other live hosts of its data centre, in turn.
     pub contacts: Vec<Member>,
 }
@@ -126,6 +128,8 @@
     pub newest: collections::BTreeMap<String, u64>,
     /// Limits that backend servers have named.
     pub limits: Vec<signal_book::SignalNews<f64>>,
+    /// Backend servers that have said that they leave.
+    pub leaving: Vec<signal_book::SignalNews<()>>,
 }
 
 /// A message between hosts.
@@ -437,6 +441,7 @@
             shares: heartbeat.shares.clone(),
             newest: heartbeat.newest.clone(),
             limits: heartbeat.limits.clone(),
+            leaving: heartbeat.leaving.clone(),
         }
     }
 
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -42,6 +42,6 @@
 pub use server_set::{Removal, ServerIndex, ServerSet};
 pub use service_times::ServiceTimeEstimates;
 pub use signal_book::{SignalBook, SignalNews};
-pub use signals::ServerSignals;
+pub use signals::{ServerSignals, SignalChange};
 pub use store_readers::sources as store_sources;
 pub use traffic_splitter::TrafficSplitter;
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -75,7 +75,7 @@
             .flat_map(|(data_centre, _)| cx.servers.servers_in(&req.service, data_centre))
             .filter(|index| !req.tried_servers.contains(index))
             .filter_map(|index| Some((*index, cx.servers.get(*index)?)))
-            .filter(|(_, server)| server.is_usable(now))
+            .filter(|(_, server)| cx.shares.is_usable(server, now))
             .filter_map(|(index, server)| Some((index, server, cx.shares.share(server, now)?)))
             .collect()
     };
@@ -106,7 +106,7 @@
         .flat_map(|(data_centre, _)| cx.servers.servers_in(&req.service, data_centre))
         .filter(|index| !req.tried_servers.contains(index))
         .filter_map(|index| cx.servers.get(*index))
-        .any(|server| server.is_usable(now) && cx.shares.share(server, now).is_none())
+        .any(|server| cx.shares.is_usable(server, now) && cx.shares.share(server, now).is_none())
 }
 
 /// A backend server with its index, and this host's share of its rate.
--- a/crates/steering/src/gateway/policy.rs
+++ b/crates/steering/src/gateway/policy.rs
@@ -57,6 +57,8 @@
 /// Settings of a service.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
+    /// Path at which a backend server tells its status.
+    pub health_check: String,
     /// Largest number of connections to one backend server, summed over all hosts.
     pub max_connections: usize,
     /// Time that a backend server is cold after its start.
--- a/crates/steering/src/gateway/send_shares.rs
+++ b/crates/steering/src/gateway/send_shares.rs
@@ -139,6 +139,8 @@
     pub cold_tolerance: ColdTolerance,
     pub services: collections::BTreeMap<model::ServiceId, policy::Service>,
     pub limits: signal_book::SignalBook<f64>,
+    /// Servers that have said that they leave.
+    pub leaving: signal_book::SignalBook<()>,
 }
 
 /// This host's share of a backend server's rate.
@@ -179,6 +181,17 @@
         })
     }
 
+    /// Whether the backend server has said in an answer that it leaves.
+    pub fn is_leaving(&self, server: &server::Server) -> bool {
+        let signal = self.leaving.get(server.name_hash, server.entry.incarnation);
+        signal.is_some()
+    }
+
+    /// Whether the backend server may get requests, regardless of its load and its rate.
+    pub fn is_usable(&self, server: &server::Server, now: model::Time) -> bool {
+        server.is_usable(now) && !self.is_leaving(server)
+    }
+
     /// Limit that the backend server has named, in requests per second from all hosts together.
     pub fn limit(&self, server: &server::Server) -> Option<f64> {
         self.limits.get(server.name_hash, server.entry.incarnation)
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -284,20 +284,18 @@
             .map_or(&[], Vec::as_slice)
     }
 
-    /// Sum of `slots` over the usable backend servers of a service, by data centre.
-    pub(super) fn usable_slots(
+    /// Sum of `slots` over the backend servers of a service for which it returns any, by data centre.
+    pub(super) fn slots(
         &self,
         service: &str,
-        now: model::Time,
-        slots: impl Fn(&server::Server) -> f64,
+        slots: impl Fn(&server::Server) -> Option<f64>,
     ) -> collections::BTreeMap<model::DataCentreId, f64> {
         let mut sums = collections::BTreeMap::new();
-        let usable = self
-            .servers
-            .values()
-            .filter(|server| server.entry.service == service && server.is_usable(now));
-        for server in usable {
-            *sums.entry(server.entry.data_centre.clone()).or_default() += slots(server);
+        let servers = self.servers.values();
+        for server in servers.filter(|server| server.entry.service == service) {
+            if let Some(slots) = slots(server) {
+                *sums.entry(server.entry.data_centre.clone()).or_default() += slots;
+            }
         }
         sums
     }
--- a/crates/steering/src/gateway/signal_book.rs
+++ b/crates/steering/src/gateway/signal_book.rs
@@ -7,9 +7,6 @@
 
 use crate::model;
 
-/// Time for which a signal holds that no host has seen confirmed.
-const MAX_AGE: time::Duration = time::Duration::from_secs(60);
-
 /// Time for which hosts pass on that a signal was lifted.
 const LIFTED_NEWS_TIME: time::Duration = time::Duration::from_secs(5);
 
@@ -121,6 +118,13 @@
             .collect()
     }
 
+    /// Time at which a backend server last gave a signal that holds.
+    pub fn said_at(&self, server: u64, incarnation: model::Incarnation) -> Option<model::Time> {
+        let said = self.said.get(&server)?;
+        let holds = said.value.is_some() && said.incarnation == incarnation;
+        holds.then_some(said.at)
+    }
+
     /// What to tell other hosts.
     pub fn news(&self, now: model::Time) -> Vec<SignalNews<T>> {
         let mut news: Vec<SignalNews<T>> = self
@@ -150,14 +154,20 @@
         said.filter(|said| said.value.is_some()).count()
     }
 
-    /// Drops signals that have not been confirmed for long, and old news of lifted ones.
-    pub fn expire(&mut self, now: model::Time) {
+    /// Drops signals that no host has seen confirmed for `max_age`, and old news of lifted ones.
+    pub fn expire(&mut self, max_age: time::Duration, now: model::Time) {
         self.said.retain(|_, said| {
             let max_age = match said.value {
-                Some(_) => MAX_AGE,
+                Some(_) => max_age,
                 None => LIFTED_NEWS_TIME,
             };
             now <= said.at + max_age
         });
     }
+
+    /// Drops the signals of backend servers for which `is_known` returns false.
+    pub fn retain(&mut self, is_known: impl Fn(u64, model::Incarnation) -> bool) {
+        self.said
+            .retain(|server, said| is_known(*server, said.incarnation));
+    }
 }
--- a/crates/steering/src/gateway/signals.rs
+++ b/crates/steering/src/gateway/signals.rs
@@ -7,4 +7,15 @@
     pub load: Option<u32>,
     /// Requests per second that it takes from all hosts together; `None` without such a limit.
     pub limit: Option<f64>,
+    /// Whether it leaves and should get no more requests.
+    pub is_leaving: bool,
+}
+
+/// Which signals of a backend server an answer has changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SignalChange {
+    /// Its limit.
+    pub limit: bool,
+    /// Whether it leaves.
+    pub is_leaving: bool,
 }
--- a/crates/steering/tests/gateway/fixtures.rs
+++ b/crates/steering/tests/gateway/fixtures.rs
@@ -48,6 +48,7 @@
 
 pub fn service() -> gateway::Service {
     gateway::Service {
+        health_check: "/health".to_string(),
         max_connections: 100,
         warmup: ms(3000),
         warmup_rate: 10.0,
--- a/crates/steering/tests/gateway/limits.rs
+++ b/crates/steering/tests/gateway/limits.rs
@@ -6,7 +6,10 @@
 use crate::fixtures::{self, ms};
 
 fn named(limit: Option<f64>) -> ServerSignals {
-    ServerSignals { load: None, limit }
+    ServerSignals {
+        limit,
+        ..ServerSignals::default()
+    }
 }
 
 /// Dispatchers of 33 hosts in each of two data centres, that know one server each, `a` and `b`, and
@@ -167,7 +170,7 @@
     assert_eq!(limits.get(1, 2), Some(3.0));
     assert_eq!(limits.news(ms(2000))[0].age, ms(1000));
     // Limits end that nobody has seen confirmed for long.
-    limits.expire(ms(62_000));
+    limits.expire(ms(60_000), ms(62_000));
     assert_eq!((limits.count(), limits.news(ms(62_000)).len()), (0, 0));
 }
 
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod dispatcher;
 mod fairness;
 mod fixtures;
+mod leaving;
 mod limits;
 mod lookup_balancer;
 mod members;
--- a/crates/steering/tests/gateway/members.rs
+++ b/crates/steering/tests/gateway/members.rs
@@ -70,6 +70,7 @@
                     shares: Vec::new(),
                     newest: Default::default(),
                     limits: Vec::new(),
+                    leaving: Vec::new(),
                     contacts: Vec::new(),
                 };
                 let summary = (now_ms % 480 == 0)
@@ -191,6 +192,7 @@
         shares: Vec::new(),
         newest: Default::default(),
         limits: Vec::new(),
+        leaving: Vec::new(),
         contacts: Vec::new(),
     };
     members.receive(gateway::Message::Heartbeat(heartbeat), ms(0));
