--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -75,7 +75,8 @@
     let response = connection.send(req).await?;
     let (head, incoming) = response.into_parts();
     let keep_alive = keep_alive_timeout(&head.headers);
-    let signals = (gateway.header_names.signals)(&head.headers);
+    let signals =
+        (gateway.header_names.signals)(head.status, &head.headers, time::SystemTime::now());
     match body::read_buffered(incoming)
         .await
         .map_err(broken_connection)?
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -444,6 +444,8 @@
         if let Some(service) = state.dispatcher.service_of(ticket) {
             self.metrics.record_attempt(service, outcome);
         }
+        let unreadable = signals.map_or(0, |signals| signals.unreadable);
+        self.metrics.unreadable_signals.inc_by(unreadable.into());
         if let Some(signals) = signals
             && let Some((server, change)) = state.dispatcher.record_signals(ticket, signals, now)
         {
@@ -451,6 +453,9 @@
             if change.limit {
                 report::limit_change(&server, signals.limit, age, "answer");
             }
+            if change.pause {
+                report::pause(&server, signals.pause.unwrap_or_default());
+            }
             if change.is_leaving {
                 report::leaving_change(&server, signals.is_leaving, age, "answer");
             }
@@ -461,7 +466,8 @@
 
     /// Whether the backend server chosen for an attempt still accepts requests.
     pub(super) fn may_still_send(&self, ticket: decisions::Ticket) -> bool {
-        self.lock().dispatcher.may_still_send(ticket)
+        let now = self.clock.now();
+        self.lock().dispatcher.may_still_send(ticket, now)
     }
 
     /// Abandons a request and frees its slot.
--- a/crates/node/src/gateway/header_names.rs
+++ b/crates/node/src/gateway/header_names.rs
@@ -1,5 +1,7 @@
 //! Headers that clients and backend servers use.
 
+use std::time;
+
 use http::header;
 use yuccatide_steering::gateway;
 
@@ -19,8 +21,9 @@
     pub target: header::HeaderName,
     /// Name of the backend server that tells its status.
     pub instance: header::HeaderName,
-    /// Decodes what a backend server says of itself in an answer.
-    pub signals: fn(&header::HeaderMap) -> gateway::ServerSignals,
+    /// Decodes what a backend server says of itself in an answer, read at a time of day.
+    pub signals:
+        fn(http::StatusCode, &header::HeaderMap, time::SystemTime) -> gateway::ServerSignals,
     /// Present if the backend server has not run the request.
     pub not_run: header::HeaderName,
 }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -72,6 +72,7 @@
     pub(super) missing_servers: gauge::Gauge,
     pub(super) limited_servers: gauge::Gauge,
     pub(super) leaving_servers: gauge::Gauge,
+    pub(super) unreadable_signals: counter::Counter,
     pub(super) store_answers: gauge::Gauge,
     pub(super) send_delay: histogram::Histogram,
     pub(super) cold_attempts: counter::Counter,
@@ -99,6 +100,7 @@
             missing_servers: gauge::Gauge::default(),
             limited_servers: gauge::Gauge::default(),
             leaving_servers: gauge::Gauge::default(),
+            unreadable_signals: counter::Counter::default(),
             send_delay: histogram::Histogram::new(SEND_DELAY_BUCKETS_S),
             cold_attempts: counter::Counter::default(),
             store_answers: gauge::Gauge::default(),
@@ -173,6 +175,11 @@
             "Backend servers that have said in an answer that they leave",
             self.leaving_servers.clone(),
         );
+        registry.register(
+            "unreadable_signals",
+            "Headers with signals of backend servers that could not be read",
+            self.unreadable_signals.clone(),
+        );
         registry.register(
             "send_delay_seconds",
             "Time from the choice of a backend server until the request is sent to it",
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -84,6 +84,15 @@
     );
 }
 
+/// Logs that a backend server wants no requests from this host for a while.
+pub(super) fn pause(server: &str, asked: time::Duration) {
+    let pause = asked.min(decisions::MAX_PAUSE);
+    log::info!(
+        server, pause_ms = pause.as_millis() as u64, asked_ms = asked.as_millis() as u64;
+        "backend server pauses"
+    );
+}
+
 /// Sets the gauges to what the host believes.
 pub(super) fn update_gauges(metrics: &metrics::Metrics, state: &state::State, now: model::Time) {
     let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
--- a/crates/node/src/gateway/status_check.rs
+++ b/crates/node/src/gateway/status_check.rs
@@ -37,6 +37,10 @@
         .map_err(|_| error::Error::Invalid("no status in time"))??;
     let instance = response.headers().get(&header_names.instance);
     let is_own = instance.is_some_and(|id| id.as_bytes() == entry.id.as_bytes());
-    let signals = (header_names.signals)(response.headers());
+    let signals = (header_names.signals)(
+        response.status(),
+        response.headers(),
+        time::SystemTime::now(),
+    );
     Ok(response.status().is_success() && is_own && !signals.is_leaving)
 }
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -38,7 +38,7 @@
 pub use retry_budget::RetryBudget;
 pub use route_table::{RouteMatch, RouteTable};
 pub use send_shares::{ColdTolerance, KnownHosts};
-pub use server::{Server, ServerEntry, ServerState};
+pub use server::{MAX_PAUSE, Server, ServerEntry, ServerState};
 pub use server_set::{Removal, ServerIndex, ServerSet};
 pub use service_times::ServiceTimeEstimates;
 pub use signal_book::{SignalBook, SignalNews};
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -51,12 +51,14 @@
     pub service_seconds: f64,
     /// Expected service time in seconds with the object cached.
     pub cached_seconds: f64,
+    /// Whether it wants no requests from this host for a while.
+    pub is_paused: bool,
     score: f64,
 }
 
 /// Selects the backend server with the best score in the nearest tier that has a usable one: the
-/// own data centre, then the own region, then other regions.  Servers that have got what their
-/// limits allow are left out as long as any tier has others.
+/// own data centre, then the own region, then other regions.  Servers that pause, or have got what
+/// their limits allow, are left out as long as any tier has others.
 pub(super) fn choose(
     cx: &PlacementContext<'_>,
     req: &request::Request,
@@ -79,18 +81,18 @@
             .filter_map(|(index, server)| Some((index, server, cx.shares.share(server, now)?)))
             .collect()
     };
-    let within_limit = |(_, _, share): &Candidate<'_>| !share.is_used_up();
-    let mut has_used_up = false;
+    let is_taking = |(_, _, share): &Candidate<'_>| !share.is_last_choice();
+    let mut has_others = false;
     for wanted in tiers {
         let mut candidates = usable(wanted);
         let all = candidates.len();
-        candidates.retain(within_limit);
-        has_used_up |= candidates.len() < all;
+        candidates.retain(is_taking);
+        has_others |= candidates.len() < all;
         if let Some(choice) = best_of(cx, req, candidates, now) {
             return Some(choice);
         }
     }
-    let mut all = tiers.into_iter().filter(|_| has_used_up);
+    let mut all = tiers.into_iter().filter(|_| has_others);
     all.find_map(|wanted| best_of(cx, req, usable(wanted), now))
 }
 
@@ -195,6 +197,7 @@
         wait_seconds,
         service_seconds,
         cached_seconds,
+        is_paused: share.is_paused,
         score: if is_first_try {
             0.0
         } else {
--- a/crates/steering/src/gateway/send_shares.rs
+++ b/crates/steering/src/gateway/send_shares.rs
@@ -150,14 +150,16 @@
     pub wait: time::Duration,
     /// Time between two requests of this host; zero without a bound.
     pub interval: time::Duration,
-    /// Whether the server has named a limit.
-    pub is_limited: bool,
+    /// Whether this host has used up its share of the limit that the server has named.
+    pub is_used_up: bool,
+    /// Whether the server wants no requests from this host for a while.
+    pub is_paused: bool,
 }
 
 impl Share {
-    /// Whether this host has used up its share of the limit that the server has named.
-    pub fn is_used_up(self) -> bool {
-        self.is_limited && self.wait > time::Duration::ZERO
+    /// Whether other servers go before this one as long as there are any.
+    pub fn is_last_choice(self) -> bool {
+        self.is_used_up || self.is_paused
     }
 }
 
@@ -174,10 +176,13 @@
                 Some(longest.max(interval?))
             })?;
         let next = server.last_sent.map(|last| last + interval);
+        let wait = next.map_or(time::Duration::ZERO, |next| next.saturating_sub(now));
+        let pause = server.pause_left(now);
         Some(Share {
-            wait: next.map_or(time::Duration::ZERO, |next| next.saturating_sub(now)),
+            wait: wait.max(pause),
             interval,
-            is_limited,
+            is_used_up: is_limited && wait > time::Duration::ZERO,
+            is_paused: pause > time::Duration::ZERO,
         })
     }
 
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -31,6 +31,9 @@
 /// requests of other hosts arrive with about this delay.
 const FULL_DURATION: time::Duration = time::Duration::from_millis(60);
 
+/// Longest pause that a backend server can ask for.
+pub const MAX_PAUSE: time::Duration = time::Duration::from_secs(300);
+
 /// Service time of a cold backend server relative to a warm one.
 const COLD_SERVICE_TIME_RATIO: f64 = 2.0;
 
@@ -93,6 +96,8 @@
     ejected_until: model::Time,
     ejections: u32,
     full_until: model::Time,
+    /// End of the time for which it wants no requests from this host.
+    paused_until: model::Time,
     cold_until: model::Time,
     /// Time of the last request of this host to it.
     pub(super) last_sent: Option<model::Time>,
@@ -117,6 +122,7 @@
             ejected_until: model::Time::ZERO,
             ejections: 0,
             full_until: model::Time::ZERO,
+            paused_until: model::Time::ZERO,
             last_sent: None,
             cached_objects: collections::VecDeque::new(),
             has_responded: false,
@@ -173,6 +179,19 @@
             .then(|| self.cold_until.saturating_sub(now))
     }
 
+    /// Records that it wants no requests from this host for a while; returns whether the pause has
+    /// just begun.  An earlier pause that lasts longer is kept.
+    pub(super) fn pause(&mut self, duration: time::Duration, now: model::Time) -> bool {
+        let was_paused = now < self.paused_until;
+        self.paused_until = self.paused_until.max(now + duration.min(MAX_PAUSE));
+        !was_paused && now < self.paused_until
+    }
+
+    /// Time for which it still wants no requests from this host.
+    pub fn pause_left(&self, now: model::Time) -> time::Duration {
+        self.paused_until.saturating_sub(now)
+    }
+
     /// Number of requests in progress from this host.
     pub fn in_flight(&self) -> u32 {
         self.in_flight.len() as u32
--- a/crates/steering/src/gateway/signals.rs
+++ b/crates/steering/src/gateway/signals.rs
@@ -1,5 +1,7 @@
 //! What backend servers say of themselves in their answers.
 
+use std::time;
+
 /// Signals in one answer of a backend server.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ServerSignals {
@@ -9,6 +11,10 @@
     pub limit: Option<f64>,
     /// Whether it leaves and should get no more requests.
     pub is_leaving: bool,
+    /// Time for which it wants no requests from this host, after it turned one away.
+    pub pause: Option<time::Duration>,
+    /// Number of headers with signals that could not be read.
+    pub unreadable: u32,
 }
 
 /// Which signals of a backend server an answer has changed.
@@ -18,4 +24,6 @@
     pub limit: bool,
     /// Whether it leaves.
     pub is_leaving: bool,
+    /// Whether it pauses; set when a pause begins.
+    pub pause: bool,
 }
--- a/crates/steering/tests/gateway/dispatcher.rs
+++ b/crates/steering/tests/gateway/dispatcher.rs
@@ -231,9 +231,9 @@
     let mut entry = fixtures::entry("s0", "a1", 4);
     change(&mut entry);
     dispatcher.servers.upsert(entry, ms(300));
-    assert_eq!(dispatcher.may_still_send(ticket), may_send);
+    assert_eq!(dispatcher.may_still_send(ticket, ms(300)), may_send);
     dispatcher.servers.remove("s0", ms(400));
-    assert!(!dispatcher.may_still_send(ticket));
+    assert!(!dispatcher.may_still_send(ticket, ms(400)));
 }
 
 #[derive(Clone, Debug)]
--- a/crates/steering/tests/gateway/leaving.rs
+++ b/crates/steering/tests/gateway/leaving.rs
@@ -8,6 +8,8 @@
     load: None,
     limit: None,
     is_leaving: true,
+    pause: None,
+    unreadable: 0,
 };
 
 fn dispatcher(servers: &[&str]) -> gateway::Dispatcher {
@@ -64,7 +66,7 @@
     let (waiting, sent) = send(&mut dispatcher, 0);
     assert!(sent.is_some());
     answer(&mut dispatcher, LEAVES, 1);
-    assert!(!dispatcher.may_still_send(waiting));
+    assert!(!dispatcher.may_still_send(waiting, ms(2)));
 }
 
 #[test]
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod lookup_balancer;
 mod members;
 mod outcome;
+mod pauses;
 mod remote_in_flight;
 mod retry_budget;
 mod routes;
