Bound the interval of a cold server's tiny rate

A configured rate next to zero, divided among hosts, gave an interval beyond what a duration holds, which ends the process. The rate counts with 0.001 a second at least. Found when the diff was read; the test ended with a panic before and passes.

--- a/crates/steering/src/gateway/send_shares.rs
+++ b/crates/steering/src/gateway/send_shares.rs
@@ -44,6 +44,9 @@
     burst: f64,
 }
 
+/// Smallest average rate in requests per second; far below any that serves, it keeps times bounded.
+const MIN_RATE: f64 = 0.001;
+
 /// Average rate of a cold backend server relative to the rate that it takes.
 const COLD_RATE_RATIO: f64 = 1.2;
 
@@ -108,8 +111,8 @@
             true => (bound.local_share, LOCAL_BURST_SHARE),
             false => (1.0 - bound.local_share, REMOTE_BURST_SHARE),
         };
-        let max_senders = (burst * bound.burst).max(1.0) as usize;
         // Each sender may send one request at once, whatever the average.
+        let max_senders = (burst * bound.burst).max(1.0) as usize;
         let others = self
             .by_data_centre
             .iter()
@@ -125,7 +128,8 @@
         if preferred >= max_senders || self.is_undiscovered {
             return None;
         }
-        let per_second = rate * bound.rate / count.min(max_senders) as f64;
+        let rate = rate * bound.rate.max(MIN_RATE);
+        let per_second = rate / count.min(max_senders) as f64;
         Some(time::Duration::from_secs_f64(1.0 / per_second))
     }
 }
@@ -138,6 +142,7 @@
     pub hosts: KnownHosts,
     pub cold_tolerance: ColdTolerance,
     pub services: collections::BTreeMap<model::ServiceId, policy::Service>,
+    /// Limits that servers have named, in requests per second from all hosts together.
     pub limits: signal_book::SignalBook<f64>,
     /// Servers that have said that they leave.
     pub leaving: signal_book::SignalBook<()>,
--- a/crates/steering/tests/gateway/cold_rate.rs
+++ b/crates/steering/tests/gateway/cold_rate.rs
@@ -162,3 +162,21 @@
     dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(0)));
     assert!(matches!(dispatcher.decide(ms(0))[0].1, Decision::Send(..)));
 }
+
+/// A rate that is next to nothing must not end the process.
+#[test]
+fn a_cold_server_with_a_tiny_rate_gets_one_request() {
+    let mut dispatcher = fixtures::dispatcher();
+    let mut service = fixtures::service();
+    service.warmup_rate = f64::MIN_POSITIVE;
+    dispatcher.set_services(&[("log".to_string(), service)].into());
+    dispatcher.servers.upsert(cold_entry(), ms(0));
+    for (at, expected) in [(0, 1), (5000, 0)] {
+        dispatcher.submit(fixtures::request(fixtures::route("r"), 1, ms(at)));
+        let decisions = dispatcher.decide(ms(at));
+        let sent = decisions
+            .iter()
+            .filter(|(_, d)| matches!(d, Decision::Send(..)));
+        assert_eq!(sent.count(), expected, "at {at} ms");
+    }
+}
