Have the soak's servers name limits, pause and leave

The soak's servers now name a limit, ask for pauses, or say that they leave, in a series of events drawn by itself, so that a seed keeps its other events; their refusals name their requests, as the users' servers' do, and they tell their status. New promises: limit, pause, leaving-mark.

--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -2,6 +2,8 @@
 
 use std::{collections, sync, time};
 
+use crate::plan;
+
 /// Time since the start of the run.
 pub type At = time::Duration;
 
@@ -128,6 +130,11 @@
     pub leaving: Vec<Leaving>,
     /// Cold times of backend servers that started during the traffic.
     pub cold: Vec<(String, Span)>,
+    /// Backend servers that said something of themselves, and in which time.
+    pub signals: Vec<(String, plan::Signal, Span)>,
+    /// Pauses that backend servers asked for with a refusal: the server, the refused request, and
+    /// the time.
+    pub pauses: Vec<(String, RequestId, Span)>,
     /// Evacuated data centres: the backend servers in them, and the time.
     pub evacuations: Vec<(Vec<String>, Span)>,
     /// Times in which a host was killed, stood still, or its link to callers was harmed.
--- a/crates/soak/src/cases.rs
+++ b/crates/soak/src/cases.rs
@@ -1,7 +1,7 @@
 //! Seeds that failed once, each with its cause.  All are played with the default sizes.
 
 /// Seed and the cause of its failure.
-pub const CASES: [(u64, &str); 6] = [
+pub const CASES: [(u64, &str); 9] = [
     (106, "a watch on a silenced connection waited for 20 s"),
     (113, "a watch on a silenced connection waited for 20 s"),
     (
@@ -17,4 +17,10 @@
         "hosts of other data centres did not share a cold server's rate",
     ),
     (3_784_840_261, "SIGTERM met a process that had just started"),
+    (
+        20_261_206,
+        "the soak itself: a server's signal ended with an earlier one that overlapped it",
+    ),
+    (20_261_209, "the same"),
+    (20_261_210, "the same"),
 ];
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     book::{Arrival, At, End, Request, Seen, Span},
-    host, server,
+    host, plan, server,
 };
 
 /// Bounds of the platform's pages: time until a leaving backend server, a version and an evacuation
@@ -28,6 +28,14 @@
 /// Bound on the requests a second of a cold backend server.
 const COLD_MOST: f64 = server::COLD_RATE * 1.5 + 5.0;
 
+/// A server with a limit tolerates one and a half times as much and some requests more in a window.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_MOST: f64 = server::LIMIT * 1.5 * 4.0 + 5.0;
+
+/// Time after the request for a pause from which it counts, and the requests that may still come.
+const PAUSE_SLACK: Duration = Duration::from_millis(500);
+const PAUSE_MOST: usize = 2;
+
 /// Window of the retry budget, and its part of the requests.
 const BUDGET_WINDOW: Duration = Duration::from_secs(10);
 const BUDGET_RATIO: f64 = 0.2;
@@ -110,7 +118,10 @@
         leaving(&mut verdict, seen);
         evacuated(&mut verdict, seen);
         cold(&mut verdict, seen);
+        limited(&mut verdict, seen);
     }
+    marked(&mut verdict, seen);
+    paused(&mut verdict, seen);
     verdict
 }
 
@@ -353,3 +364,116 @@
         });
     }
 }
+
+/// Arrivals at a backend server in a span, with the host that sent each.
+fn arrivals<'a>(
+    seen: &'a Seen,
+    senders: &HashMap<&str, usize>,
+    server: &str,
+    span: Span,
+) -> Vec<(&'a Arrival, usize)> {
+    seen.arrivals
+        .iter()
+        .filter(|arrival| arrival.server == server)
+        .filter(|arrival| arrival.at > span.from && arrival.at < span.to)
+        .filter_map(|arrival| Some((arrival, *senders.get(arrival.request.as_str())?)))
+        .collect()
+}
+
+/// Whether a host neither stood still nor ended in a span.
+fn is_alive(seen: &Seen, host: usize, span: Span) -> bool {
+    let spans = seen.harmed.iter().chain(&seen.stops);
+    !spans
+        .into_iter()
+        .any(|(other, harm)| *other == host && harm.meets(&span))
+}
+
+/// Backend servers get no more than the limits that they name.
+fn limited(verdict: &mut Verdict, seen: &Seen) {
+    let senders = senders(seen);
+    let limits = seen
+        .signals
+        .iter()
+        .filter(|(_, signal, _)| *signal == plan::Signal::Limit);
+    for (server, _, span) in limits {
+        let stable = Span {
+            from: span.from + STABLE,
+            to: span.to,
+        };
+        let arrived = arrivals(seen, &senders, server, stable);
+        let most = arrived
+            .iter()
+            .map(|(first, _)| {
+                let end = first.at + LIMIT_WINDOW;
+                let window = arrived.iter().filter(|(other, host)| {
+                    let told = Span {
+                        from: span.from,
+                        to: other.at,
+                    };
+                    other.at >= first.at && other.at < end && is_alive(seen, *host, told)
+                });
+                window.count()
+            })
+            .max()
+            .unwrap_or(0);
+        verdict.check("limit", span.from, most as f64 <= LIMIT_MOST, || {
+            format!("{server} got {most} in {LIMIT_WINDOW:?}")
+        });
+    }
+}
+
+/// A host that has passed on the answer of a server that leaves sends it nothing that came later.
+fn marked(verdict: &mut Verdict, seen: &Seen) {
+    let senders = senders(seen);
+    let leaving = seen
+        .signals
+        .iter()
+        .filter(|(_, signal, _)| *signal == plan::Signal::Leave);
+    for (server, _, span) in leaving {
+        let arrived = arrivals(seen, &senders, server, *span);
+        for (arrival, host) in &arrived {
+            let req = seen.requests.iter().find(|req| req.id == arrival.request);
+            let Some(req) = req.filter(|req| req.sent < arrival.at) else {
+                continue;
+            };
+            let was_told = arrived.iter().any(|(earlier, other)| {
+                let answered = seen.requests.iter().find(|r| r.id == earlier.request);
+                other == host
+                    && answered.is_some_and(|answered| {
+                        let told = Span {
+                            from: answered.ended,
+                            to: arrival.at,
+                        };
+                        matches!(&answered.end, End::Answer { signature: Some(s), .. } if s.starts_with(server.as_str()))
+                            && answered.ended + DRAIN < req.sent
+                            && is_alive(seen, *host, told)
+                    })
+            });
+            verdict.check("leaving-mark", arrival.at, !was_told, || {
+                format!("{server} got {} from host {host}", req.id)
+            });
+        }
+    }
+}
+
+/// A host leaves a server alone in the pause that it was asked for.
+fn paused(verdict: &mut Verdict, seen: &Seen) {
+    let senders = senders(seen);
+    for (server, request, span) in &seen.pauses {
+        let Some(host) = senders.get(request.as_str()) else {
+            continue;
+        };
+        if !is_alive(seen, *host, *span) {
+            continue;
+        }
+        let counted = Span {
+            from: span.from + PAUSE_SLACK,
+            to: span.to,
+        };
+        let arrived = arrivals(seen, &senders, server, counted);
+        let count = arrived.iter().filter(|(_, other)| other == host).count();
+        verdict.check("pause", span.from, count <= PAUSE_MOST, || {
+            format!("{server} got {count} from host {host} in its pause")
+        });
+    }
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -68,6 +68,17 @@
     Failed,
 }
 
+/// What a backend server says of itself in its answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Signal {
+    /// It takes only so many requests a second.
+    Limit,
+    /// It turns requests away and asks for a pause.
+    Pause,
+    /// It leaves.
+    Leave,
+}
+
 /// One kind of event, with its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Fault {
@@ -101,6 +112,8 @@
     Slow(usize),
     /// A backend server spoils part of its answers.
     Spoil(usize, Spoilt),
+    /// A backend server says something of itself.
+    Signal(usize, Signal),
     /// Operators change the configuration.
     Config,
     /// Operators change the configuration several times in a row.
@@ -118,6 +131,7 @@
                 | Fault::Reload(_)
                 | Fault::Drain(_)
                 | Fault::Vanish(_)
+                | Fault::Signal(..)
                 | Fault::Config
                 | Fault::Storm
                 | Fault::Evacuate(_)
@@ -148,6 +162,41 @@
 
 /// The events of a run, by time; they overlap and come in series.
 pub fn plan(seed: u64, size: Size, length: Duration) -> Vec<Event> {
+    let mut events = faults(seed, size, length);
+    events.extend(signals(seed, size, length));
+    events.sort_by_key(|event| event.at);
+    events
+}
+
+/// Signals of backend servers, drawn by themselves so that a seed keeps its other events.
+fn signals(seed: u64, size: Size, length: Duration) -> Vec<Event> {
+    let mut rng = Pcg64::seed_from_u64(!seed);
+    let mut events = Vec::new();
+    let mut at = START;
+    while at < length {
+        let server = rng.random_range(0..size.servers);
+        let fault = match rng.random_range(0..3) {
+            0 => Fault::Signal(server, Signal::Limit),
+            1 => Fault::Signal(server, Signal::Pause),
+            // Always the same one: who has said so is not used again for a while, and a service
+            // must not lose all of its servers.
+            _ => Fault::Signal(0, Signal::Leave),
+        };
+        let lasts = match fault {
+            Fault::Signal(_, Signal::Pause) => 200..1000,
+            _ => 5000..8000,
+        };
+        events.push(Event {
+            at,
+            lasts: Duration::from_millis(rng.random_range(lasts)),
+            fault,
+        });
+        at += Duration::from_millis(rng.random_range(1500..5000));
+    }
+    events
+}
+
+fn faults(seed: u64, size: Size, length: Duration) -> Vec<Event> {
     let mut rng = Pcg64::seed_from_u64(seed);
     let mut events = Vec::new();
     let mut at = START;
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -29,13 +29,20 @@
 /// Requests a second that a cold backend server tolerates.
 pub const COLD_RATE: f64 = 15.0;
 
-/// What is wrong with a backend server.
+/// Limit that [`plan::Signal::Limit`] names, in requests a second.
+pub const LIMIT: f64 = 6.0;
+/// Pause that [`plan::Signal::Pause`] asks for.
+pub const PAUSE: Duration = Duration::from_millis(1500);
+
+/// What a backend server does, beside its work.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Harm {
     /// Whether it is slow.
     pub is_slow: bool,
     /// What is wrong with its answers.
     pub spoilt: Option<plan::Spoilt>,
+    /// What it says of itself.
+    pub signal: Option<plan::Signal>,
 }
 
 /// A place in which backend servers run one after the other.
@@ -135,7 +142,14 @@
             .header(objects::TARGET_HEADER)
             .is_some_and(|id| id != name)
         {
-            return Action::Write(backend::shed_response(421));
+            return Action::Write(backend::named_shed_response(421, &seen.id()));
+        }
+        let harm = *harm.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        if seen.head.starts_with("GET /health ") {
+            return Action::Write(backend::with_headers(
+                backend::signed_response(200, &seen.id(), "health", ""),
+                &format!("{}X-Instance-Id: {name}\r\n", signal_header(harm.signal)),
+            ));
         }
         let arrival = book::Arrival {
             request: seen.id(),
@@ -143,16 +157,35 @@
             at: now,
         };
         book.with(|seen| seen.arrivals.push(arrival));
-        let harm = *harm.lock().unwrap_or_else(sync::PoisonError::into_inner);
+        if harm.signal == Some(plan::Signal::Pause) {
+            let span = book::Span {
+                from: now,
+                to: now + PAUSE,
+            };
+            book.with(|book| book.pauses.push((name.clone(), seen.id(), span)));
+            return Action::Write(backend::with_headers(
+                backend::named_shed_response(503, &seen.id()),
+                &signal_header(harm.signal),
+            ));
+        }
         let mut ends = ends.lock().unwrap_or_else(sync::PoisonError::into_inner);
         ends.retain(|end| *end > now);
         if ends.len() >= SLOTS as usize + QUEUE {
-            return Action::Write(backend::shed_response(503));
+            return Action::Write(backend::named_shed_response(503, &seen.id()));
         }
         let work = work(seen, harm, &mut ends, now);
         drop(ends);
         let spoilt = harm.spoilt.filter(|_| number % SPOILT_EVERY == 0);
-        run(&name, seen, spoilt, work, &book)
+        run(&name, seen, (spoilt, harm.signal), work, &book)
+    }
+}
+
+fn signal_header(signal: Option<plan::Signal>) -> String {
+    match signal {
+        Some(plan::Signal::Limit) => format!("Server-Limit: {LIMIT}\r\n"),
+        Some(plan::Signal::Pause) => format!("Retry-After: {}\r\n", PAUSE.as_secs_f64()),
+        Some(plan::Signal::Leave) => "Server-Leaving: 1\r\n".to_string(),
+        None => String::new(),
     }
 }
 
@@ -187,7 +220,7 @@
 fn run(
     server: &str,
     seen: &backend::ReceivedRequest,
-    spoilt: Option<plan::Spoilt>,
+    (spoilt, signal): (Option<plan::Spoilt>, Option<plan::Signal>),
     work: Duration,
     book: &book::Book,
 ) -> Action {
@@ -205,7 +238,10 @@
         body: body.clone(),
     };
     book.with(|seen| seen.runs.entry(id.clone()).or_default().push(run));
-    let whole = backend::signed_response(status, &id, &signature, &body);
+    let whole = backend::with_headers(
+        backend::signed_response(status, &id, &signature, &body),
+        &signal_header(signal),
+    );
     match spoilt {
         Some(plan::Spoilt::Lost) => Action::ResetAfter(work),
         Some(plan::Spoilt::Cut) => {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -163,6 +163,7 @@
             Fault::Vanish(place) => self.leave(place, false),
             Fault::Slow(place) => self.harm(place, |harm| harm.is_slow = true),
             Fault::Spoil(place, spoilt) => self.harm(place, |harm| harm.spoilt = Some(spoilt)),
+            Fault::Signal(place, signal) => self.give_signal(place, signal),
             Fault::Config => self.change_config(),
             Fault::Storm => {
                 for _ in 0..STORM.0 {
@@ -215,6 +216,16 @@
             }
             Fault::Slow(place) => _ = self.harm(place, |harm| harm.is_slow = false),
             Fault::Spoil(place, _) => _ = self.harm(place, |harm| harm.spoilt = None),
+            Fault::Signal(place, signal) => {
+                let server = self.places[place].name.clone();
+                self.harm(place, |harm| harm.signal = None);
+                let span = book::Span {
+                    from: active.from,
+                    to: self.book.now(),
+                };
+                self.book
+                    .with(|seen| seen.signals.push((server, signal, span)));
+            }
             Fault::Evacuate(data_centre) => self.take_back(data_centre),
             Fault::Reload(_) | Fault::Config | Fault::Storm => {}
         }
@@ -348,6 +359,16 @@
         true
     }
 
+    /// Has a backend server give a signal; it gives one at a time.
+    fn give_signal(&self, place: usize, signal: plan::Signal) -> bool {
+        let mut is_first = false;
+        self.harm(place, |harm| {
+            is_first = harm.signal.is_none();
+            harm.signal.get_or_insert(signal);
+        });
+        is_first
+    }
+
     fn harm(&self, place: usize, change: impl FnOnce(&mut server::Harm)) -> bool {
         let harm = &self.places[place].harm;
         change(&mut harm.lock().unwrap_or_else(sync::PoisonError::into_inner));
