--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -193,7 +193,7 @@
                 state.demand.end_interval();
                 state.dispatcher.expire_signals(now);
                 state.update_shares(&self.settings, now);
-                report::update_gauges(&self.metrics, &state, now);
+                report::update_gauges(&self.metrics, &state, &self.store_state, now);
             }
             if state.dispatcher.has_waiting() {
                 self.decide(&mut state, now);
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -74,6 +74,7 @@
     pub(super) leaving_servers: gauge::Gauge,
     pub(super) unreadable_signals: counter::Counter,
     pub(super) store_answers: gauge::Gauge,
+    pub(super) store_era: gauge::Gauge,
     pub(super) send_delay: histogram::Histogram,
     pub(super) cold_attempts: counter::Counter,
     pub(super) omitted_lines: counter::Counter,
@@ -104,6 +105,7 @@
             send_delay: histogram::Histogram::new(SEND_DELAY_BUCKETS_S),
             cold_attempts: counter::Counter::default(),
             store_answers: gauge::Gauge::default(),
+            store_era: gauge::Gauge::default(),
             omitted_lines: counter::Counter::default(),
         };
         metrics.register();
@@ -195,6 +197,11 @@
             "Whether the store answers",
             self.store_answers.clone(),
         );
+        registry.register(
+            "store_era",
+            "Era of the store; it rises when the store comes back from an older copy",
+            self.store_era.clone(),
+        );
         let omitted = self.omitted_lines.clone();
         registry.register(
             "log_lines_omitted",
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -4,7 +4,7 @@
 
 use yuccatide_steering::{gateway as decisions, model};
 
-use super::{gateway, metrics, state};
+use super::{gateway, metrics, state, store_state};
 
 /// Logs and counts a request that goes to a cold backend server, with the hosts of the data
 /// centre that this one knows; they share the server's rate.
@@ -94,8 +94,16 @@
 }
 
 /// Sets the gauges to what the host believes.
-pub(super) fn update_gauges(metrics: &metrics::Metrics, state: &state::State, now: model::Time) {
+pub(super) fn update_gauges(
+    metrics: &metrics::Metrics,
+    state: &state::State,
+    store: &store_state::StoreState,
+    now: model::Time,
+) {
     let count = |number: usize| i64::try_from(number).unwrap_or(i64::MAX);
+    metrics
+        .store_era
+        .set(i64::try_from(store.era()).unwrap_or(i64::MAX));
     let servers = &state.dispatcher.servers;
     let usable = state.dispatcher.usable_count(now);
     let version = state.route_table.version().unwrap_or(0);
--- a/crates/node/src/gateway/store_state.rs
+++ b/crates/node/src/gateway/store_state.rs
@@ -1,6 +1,6 @@
 //! State of the platform's store, shared by the watches of all kinds of objects.
 
-use std::{collections, time};
+use std::{collections, sync::atomic, time};
 
 use tokio::sync;
 
@@ -24,6 +24,8 @@
 pub struct StoreState {
     is_available: sync::watch::Sender<bool>,
     newest_revisions: sync::watch::Sender<NewestRevisions>,
+    /// Era of the store: it rises each time that the store comes back from an older copy.
+    era: atomic::AtomicU64,
     /// Delay after the next failed probe; the lock is held by the watch that probes.
     probe_backoff: sync::Mutex<time::Duration>,
 }
@@ -37,6 +39,7 @@
         StoreState {
             is_available: sync::watch::Sender::new(true),
             newest_revisions: sync::watch::Sender::new(NewestRevisions::new()),
+            era: atomic::AtomicU64::new(0),
             probe_backoff: sync::Mutex::new(INITIAL_BACKOFF),
         }
     }
@@ -58,6 +61,18 @@
         }
     }
 
+    /// Newest era of the store that this host knows of; 0 if there is none.
+    pub fn era(&self) -> u64 {
+        self.era.load(atomic::Ordering::Relaxed)
+    }
+
+    /// Records the era that a response of the store names; returns whether it shows that the store
+    /// has come back from an older copy since this host first read it.
+    pub fn record_era(&self, era: u64) -> bool {
+        let known = self.era.fetch_max(era, atomic::Ordering::Relaxed);
+        known > 0 && known < era
+    }
+
     /// Revision of the newest change of each kind that this host knows of.
     pub fn newest_revisions(&self) -> NewestRevisions {
         self.newest_revisions.borrow().clone()
