Order what is read of the store by era and revision (CONFIG)

Operators see: after the store comes back from an older copy, hosts take its present state for an outdated one until it has passed its old revision. Each watch of the configuration ends after 0.8 s, followers leave their sources and read the store themselves; a change under a revision that was given out again is not read at all, until a later one comes.

Cause: the revision was taken for the version of the store, in watches, copies, lists of other hosts and the messages between hosts. It belongs to one history only. Class: order by a number whose issuer can be reset.

A position is now an era and a revision, compared in that order. The era comes from the header of each response. Hosts tell each other the newest era; a watch or a list of an earlier one is not used, whatever its revision, and all kinds are listed again as soon as one response or one host shows a new era. A copy names its era; a follower of a source that has listed again lists there, not in the store.

What hosts tell of the store merges in any order (proptest in store_revision).

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -291,7 +291,7 @@
             } else {
                 Vec::new()
             },
-            newest: self.store_state.newest_revisions(),
+            store: self.store_state.progress(),
             limits: state.dispatcher.limits().news(now),
             leaving: state.dispatcher.leaving_news(now),
             contacts,
@@ -316,11 +316,11 @@
         let mut state = self.lock();
         match &message {
             decisions::Message::Heartbeat(h) => {
-                self.adopt_news(&mut state, &h.blocks, &h.shares, &h.newest, now);
+                self.adopt_news(&mut state, &h.blocks, &h.shares, &h.store, now);
                 state.adopt_signals(&h.limits, &h.leaving, now);
             }
             decisions::Message::Summary { summary: s, .. } => {
-                self.adopt_news(&mut state, &s.blocks, &s.shares, &s.newest, now);
+                self.adopt_news(&mut state, &s.blocks, &s.shares, &s.store, now);
                 state.adopt_signals(&s.limits, &s.leaving, now);
             }
             decisions::Message::Introduction(_) | decisions::Message::Contacts(_) => {}
@@ -343,15 +343,10 @@
         state: &mut state::State,
         blocks: &[(net::IpAddr, model::DataCentreId)],
         shares: &[decisions::LookupShares],
-        newest: &store_state::NewestRevisions,
+        store: &decisions::StoreProgress,
         now: model::Time,
     ) {
-        let has_newer = newest
-            .iter()
-            .filter(|(kind, revision)| self.store_state.record_revision(kind, **revision))
-            .count()
-            > 0;
-        if has_newer {
+        if self.store_state.adopt(store) {
             state.dispatcher.servers.record_revision_news(now);
         }
         state
--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -3,6 +3,7 @@
 use std::{future, pin, sync, time};
 
 use thiserror::Error;
+use yuccatide_steering::gateway as decisions;
 
 use super::{store_copy, store_state};
 
@@ -28,6 +29,9 @@
     /// The store no longer has the history that a watch starts from.
     #[error("watch history is no longer available")]
     HistoryGone,
+    /// The response is from before the store came back from an older copy.
+    #[error("response of an earlier era of the store")]
+    Outdated,
 }
 
 /// All objects of a kind.
@@ -35,8 +39,8 @@
 pub struct Listing<T> {
     /// Objects that could be decoded.
     pub objects: Vec<T>,
-    /// Revision of the store.
-    pub revision: u64,
+    /// Position of the store.
+    pub revision: decisions::StoreRevision,
 }
 
 /// A change of an object.
@@ -53,10 +57,10 @@
 pub struct WatchBatch<T> {
     /// Changes, oldest first.
     pub changes: Vec<Change<T>>,
-    /// Revision to continue the watch from.
-    pub revision: u64,
-    /// Revision of the newest change; 0 if there is none.
-    pub newest_revision: u64,
+    /// Position to continue the watch from.
+    pub revision: decisions::StoreRevision,
+    /// Position of the newest change; `None` if there is none.
+    pub newest: Option<decisions::StoreRevision>,
 }
 
 /// Future of a call to the store.
@@ -71,6 +75,8 @@
     NoSource,
     /// No host to read from could answer, and one of them answered that the store fails for it.
     StoreFailed,
+    /// The other host no longer has the history that a watch starts from; it can be listed.
+    HistoryGone,
 }
 
 /// Future of reading from another host.
@@ -89,12 +95,12 @@
 pub struct StoreReader<T> {
     /// Lists all objects.
     pub list: Box<dyn Fn(Freshness) -> StoreFuture<Listing<T>> + Send + Sync>,
-    /// Waits for changes since a revision.
-    pub watch: Box<dyn Fn(u64) -> StoreFuture<WatchBatch<T>> + Send + Sync>,
+    /// Waits for changes since a position.
+    pub watch: Box<dyn Fn(decisions::StoreRevision) -> StoreFuture<WatchBatch<T>> + Send + Sync>,
     /// Lists all objects that another host has.
     pub follow_list: Box<dyn Fn() -> FollowFuture<Listing<T>> + Send + Sync>,
-    /// Waits for changes since a revision that another host has seen.
-    pub follow: Box<dyn Fn(u64) -> FollowFuture<WatchBatch<T>> + Send + Sync>,
+    /// Waits for changes since a position that another host has seen.
+    pub follow: Box<dyn Fn(decisions::StoreRevision) -> FollowFuture<WatchBatch<T>> + Send + Sync>,
     /// What other hosts read from this one.
     pub copy: sync::Arc<store_copy::StoreCopy>,
 }
@@ -146,35 +152,42 @@
             on_event(StoreEvent::Available(false));
         }
         was_store_failed = is_store_failed;
-        let result = match (followed, revision) {
+        let read = match (followed, revision) {
             (Followed::Read(read), _) => Ok(read),
+            (Followed::HistoryGone, _) => Err(StoreError::HistoryGone),
+            (_, Some(since)) if since.era < state.era() => Err(StoreError::HistoryGone),
             (_, None) => (reader.list)(freshness).await.map(Read::Listing),
             (_, Some(since)) => watch_until_stale(kind, state, (reader.watch)(since), since)
                 .await
                 .map(Read::Changes),
         };
         let mut has_changes = false;
-        let result = result.map(|read| {
-            // A source whose watch hangs answers without changes, too.
-            if !is_followed || !read.is_empty() {
-                on_event(StoreEvent::Available(true));
-            }
-            match read {
-                Read::Listing(listing) => {
-                    revision = Some(listing.revision);
-                    on_event(StoreEvent::Listed(listing.objects));
+        let result = read
+            .and_then(|read| read.check_era(revision, state))
+            .map(|read| {
+                // A source whose watch hangs answers without changes, too.
+                if !is_followed || !read.is_empty() {
+                    on_event(StoreEvent::Available(true));
                 }
-                Read::Changes(batch) => {
-                    state.record_revision(kind, batch.newest_revision);
-                    revision = revision.max(Some(batch.revision));
-                    has_changes = !batch.changes.is_empty();
-                    batch
-                        .changes
-                        .into_iter()
-                        .for_each(|change| on_event(StoreEvent::Changed(change)));
+                match read {
+                    Read::Listing(listing) => {
+                        state.record_era(listing.revision.era);
+                        revision = Some(listing.revision);
+                        on_event(StoreEvent::Listed(listing.objects));
+                    }
+                    Read::Changes(batch) => {
+                        if let Some(newest) = batch.newest {
+                            state.record(kind, newest);
+                        }
+                        revision = revision.max(Some(batch.revision));
+                        has_changes = !batch.changes.is_empty();
+                        batch
+                            .changes
+                            .into_iter()
+                            .for_each(|change| on_event(StoreEvent::Changed(change)));
+                    }
                 }
-            }
-        });
+            });
         freshness = Freshness::Current;
         match result {
             Ok(()) => {
@@ -195,11 +208,12 @@
             Err(e) => {
                 log::warn!(kind, error:% = e; "store call failed");
                 revision = None;
-                reader.copy.set_not_current();
+                // What other hosts read from this one holds until it has listed again.
                 if e == StoreError::HistoryGone {
                     state.record_success(permit);
                     continue;
                 }
+                reader.copy.set_not_current();
                 on_event(StoreEvent::Available(false));
                 let max_backoff = match e {
                     StoreError::Unreachable(_) => MAX_CONNECT_BACKOFF,
@@ -218,14 +232,37 @@
 }
 
 impl<T> Read<T> {
+    /// Checks that it belongs to the newest era of the store that is known, and to the history that
+    /// a watch from `since` follows.
+    fn check_era(
+        self,
+        since: Option<decisions::StoreRevision>,
+        state: &store_state::StoreState,
+    ) -> Result<Read<T>, StoreError> {
+        let era = match &self {
+            Read::Listing(listing) => listing.revision.era,
+            Read::Changes(batch) => batch.revision.era,
+        };
+        if matches!(self, Read::Changes(_)) && since.is_some_and(|since| since.era != era) {
+            return Err(StoreError::HistoryGone);
+        }
+        match era < state.era() {
+            true => Err(StoreError::Outdated),
+            false => Ok(self),
+        }
+    }
+
     /// Whether it tells nothing new of the store.
     fn is_empty(&self) -> bool {
         matches!(self, Read::Changes(batch) if batch.changes.is_empty())
     }
 }
 
-/// Reads from another host: all objects without a revision, or else the changes since it.
-async fn follow<T>(reader: &StoreReader<T>, revision: Option<u64>) -> Followed<Read<T>> {
+/// Reads from another host: all objects without a position, or else the changes since it.
+async fn follow<T>(
+    reader: &StoreReader<T>,
+    revision: Option<decisions::StoreRevision>,
+) -> Followed<Read<T>> {
     match revision {
         None => (reader.follow_list)().await.map(Read::Listing),
         Some(since) => (reader.follow)(since).await.map(Read::Changes),
@@ -239,21 +276,24 @@
             Followed::Read(read) => Followed::Read(f(read)),
             Followed::NoSource => Followed::NoSource,
             Followed::StoreFailed => Followed::StoreFailed,
+            Followed::HistoryGone => Followed::HistoryGone,
         }
     }
 }
 
-/// Waits for changes; fails if the watch does not deliver a change that other hosts have seen.
+/// Waits for changes; fails if the watch does not deliver a change that other hosts have seen, or
+/// if the store has come back from an older copy.
 async fn watch_until_stale<T>(
     kind: &str,
     state: &store_state::StoreState,
     changes: StoreFuture<WatchBatch<T>>,
-    since: u64,
+    since: decisions::StoreRevision,
 ) -> Result<WatchBatch<T>, StoreError> {
     tokio::select! {
         batch = changes => batch,
+        () = state.wait_until_restored(since.era) => Err(StoreError::HistoryGone),
         () = state.wait_until_stale(kind, since, store_state::STALE_WATCH_TIMEOUT) => {
-            log::info!(kind, since; "store watch is stale; other hosts have seen newer changes");
+            log::info!(kind, era = since.era, since = since.revision; "store watch is stale; other hosts have seen newer changes");
             Err(StoreError::Interrupted("stale watch".to_string()))
         }
     }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -40,5 +40,5 @@
 };
 pub use metrics::Metrics;
 pub use store_copy::{CopyError, RawChange, RawChanges, RawListing, StoreCopy};
-pub use store_state::{NewestRevisions, StoreState};
+pub use store_state::StoreState;
 pub use update::Update;
--- a/crates/node/src/gateway/store_copy.rs
+++ b/crates/node/src/gateway/store_copy.rs
@@ -3,6 +3,7 @@
 use std::{collections, time};
 
 use tokio::sync;
+use yuccatide_steering::gateway as decisions;
 
 /// Changes that a copy keeps for the watches of other hosts.
 const MAX_CHANGES: usize = 2048;
@@ -16,7 +17,7 @@
     pub object: String,
     /// Whether the object was deleted.
     pub is_deleted: bool,
-    /// Revision of the change.
+    /// Revision of the change, in the era of the copy.
     pub revision: u64,
 }
 
@@ -25,8 +26,8 @@
 pub struct RawListing {
     /// Objects as JSON text.
     pub objects: Vec<String>,
-    /// Revision of the store.
-    pub revision: u64,
+    /// Position of the store.
+    pub revision: decisions::StoreRevision,
 }
 
 /// Changes of a kind up to a revision.
@@ -34,8 +35,8 @@
 pub struct RawChanges {
     /// Changes, oldest first.
     pub changes: Vec<RawChange>,
-    /// Revision to continue from.
-    pub revision: u64,
+    /// Position to continue from.
+    pub revision: decisions::StoreRevision,
 }
 
 /// Why a copy can't be read.
@@ -43,7 +44,8 @@
 pub enum CopyError {
     /// This host doesn't read the store itself, or its last call failed.
     NotCurrent,
-    /// The changes since the requested revision are no longer kept.
+    /// The changes since the requested position are no longer kept, or the store has come back from
+    /// an older copy since.
     HistoryGone,
 }
 
@@ -51,9 +53,9 @@
 struct State {
     objects: collections::BTreeMap<String, String>,
     changes: collections::VecDeque<RawChange>,
-    /// Revision up to which changes are no longer kept.
+    /// Revision up to which changes are no longer kept, in the era of `revision`.
     oldest: u64,
-    revision: u64,
+    revision: decisions::StoreRevision,
     /// Whether the last call was one to the store itself, and succeeded.
     is_current: bool,
 }
@@ -75,18 +77,28 @@
 
 impl StoreCopy {
     /// Replaces all objects with a list of names and objects.
-    pub fn replace(&self, objects: Vec<(String, String)>, revision: u64, is_from_store: bool) {
+    pub fn replace(
+        &self,
+        objects: Vec<(String, String)>,
+        revision: decisions::StoreRevision,
+        is_from_store: bool,
+    ) {
         self.state.send_modify(|state| {
             state.objects = objects.into_iter().collect();
             state.changes.clear();
-            state.oldest = revision;
+            state.oldest = revision.revision;
             state.revision = revision;
             state.is_current = is_from_store;
         });
     }
 
-    /// Applies the changes that a watch returned.
-    pub fn apply(&self, changes: Vec<RawChange>, revision: u64, is_from_store: bool) {
+    /// Applies the changes that a watch returned; they belong to the era of the objects.
+    pub fn apply(
+        &self,
+        changes: Vec<RawChange>,
+        revision: decisions::StoreRevision,
+        is_from_store: bool,
+    ) {
         self.state.send_modify(|state| {
             for change in changes {
                 match change.is_deleted {
@@ -133,21 +145,27 @@
         }
     }
 
-    /// Waits for changes since a revision, for `wait` at most, and returns them.  A wait without
-    /// changes ends with the newest revision.
-    pub async fn watch(&self, since: u64, wait: time::Duration) -> Result<RawChanges, CopyError> {
+    /// Waits for changes since a position, for `wait` at most, and returns them.  A wait without
+    /// changes ends with the newest position.
+    pub async fn watch(
+        &self,
+        since: decisions::StoreRevision,
+        wait: time::Duration,
+    ) -> Result<RawChanges, CopyError> {
         let mut state = self.state.subscribe();
-        let has_news = |state: &State| !state.is_current || state.revision > since;
+        let has_news = |state: &State| {
+            !state.is_current || state.revision.era != since.era || state.revision > since
+        };
         // After the wait the present state is the answer.
         let _ = tokio::time::timeout(wait, state.wait_for(has_news)).await;
         let state = state.borrow();
-        if !state.is_current {
+        if !state.is_current || state.revision.era < since.era {
             return Err(CopyError::NotCurrent);
         }
-        if since < state.oldest {
+        if state.revision.era > since.era || since.revision < state.oldest {
             return Err(CopyError::HistoryGone);
         }
-        let is_newer = |change: &&RawChange| change.revision > since;
+        let is_newer = |change: &&RawChange| change.revision > since.revision;
         Ok(RawChanges {
             changes: state.changes.iter().filter(is_newer).cloned().collect(),
             revision: state.revision.max(since),
--- a/crates/node/src/gateway/store_state.rs
+++ b/crates/node/src/gateway/store_state.rs
@@ -1,8 +1,9 @@
 //! State of the platform's store, shared by the watches of all kinds of objects.
 
-use std::{collections, sync::atomic, time};
+use std::time;
 
 use tokio::sync;
+use yuccatide_steering::gateway as decisions;
 
 /// Delay after the first failed call; it doubles with each further one.
 pub(super) const INITIAL_BACKOFF: time::Duration = time::Duration::from_millis(100);
@@ -14,18 +15,12 @@
 /// store responds in one round trip, or in 250 ms while it is slow.
 pub(super) const STALE_WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(800);
 
-/// Revision of the newest change of each kind of object that any host has seen.
-pub type NewestRevisions = collections::BTreeMap<String, u64>;
-
-/// State that the watches of a store share: its availability and the newest revisions that other
-/// hosts have seen. While the store is unavailable, one watch probes it and the others wait until a
-/// probe succeeds.
+/// State that the watches of a store share: its availability, and how far any host has seen it come.
+/// While the store is unavailable, one watch probes it and the others wait until a probe succeeds.
 #[derive(Debug)]
 pub struct StoreState {
     is_available: sync::watch::Sender<bool>,
-    newest_revisions: sync::watch::Sender<NewestRevisions>,
-    /// Era of the store: it rises each time that the store comes back from an older copy.
-    era: atomic::AtomicU64,
+    progress: sync::watch::Sender<decisions::StoreProgress>,
     /// Delay after the next failed probe; the lock is held by the watch that probes.
     probe_backoff: sync::Mutex<time::Duration>,
 }
@@ -38,8 +33,7 @@
     fn default() -> StoreState {
         StoreState {
             is_available: sync::watch::Sender::new(true),
-            newest_revisions: sync::watch::Sender::new(NewestRevisions::new()),
-            era: atomic::AtomicU64::new(0),
+            progress: sync::watch::Sender::new(decisions::StoreProgress::default()),
             probe_backoff: sync::Mutex::new(INITIAL_BACKOFF),
         }
     }
@@ -61,59 +55,62 @@
         }
     }
 
+    /// How far the store has come, as far as this host knows.
+    pub fn progress(&self) -> decisions::StoreProgress {
+        self.progress.borrow().clone()
+    }
+
     /// Newest era of the store that this host knows of; 0 if there is none.
-    pub fn era(&self) -> u64 {
-        self.era.load(atomic::Ordering::Relaxed)
+    pub fn era(&self) -> decisions::StoreEra {
+        self.progress.borrow().era
     }
 
-    /// Records the era that a response of the store names; returns whether it shows that the store
-    /// has come back from an older copy since this host first read it.
-    pub fn record_era(&self, era: u64) -> bool {
-        let known = self.era.fetch_max(era, atomic::Ordering::Relaxed);
-        known > 0 && known < era
+    /// Position of the newest change of a kind that this host knows of.
+    pub fn newest(&self, kind: &str) -> decisions::StoreRevision {
+        self.progress.borrow().newest(kind)
     }
 
-    /// Revision of the newest change of each kind that this host knows of.
-    pub fn newest_revisions(&self) -> NewestRevisions {
-        self.newest_revisions.borrow().clone()
+    /// Records an era that the store or another host names; returns whether it is newer.
+    pub fn record_era(&self, era: decisions::StoreEra) -> bool {
+        self.progress
+            .send_if_modified(|progress| progress.record_era(era))
     }
 
-    /// Records the revision of a change that a host has seen; returns whether it is the newest.
-    pub fn record_revision(&self, kind: &str, revision: u64) -> bool {
-        self.newest_revisions.send_if_modified(|newest| {
-            let is_newer = newest.get(kind).is_none_or(|known| *known < revision);
-            if is_newer {
-                newest.insert(kind.to_string(), revision);
-            }
-            is_newer
-        })
+    /// Records a change that this host has seen; returns whether it is the newest.
+    pub fn record(&self, kind: &str, at: decisions::StoreRevision) -> bool {
+        self.progress
+            .send_if_modified(|progress| progress.record(kind, at))
     }
 
-    /// Revision of the newest change of a kind that this host knows of; 0 if there is none.
-    pub fn newest_revision(&self, kind: &str) -> u64 {
-        self.newest_revisions
-            .borrow()
-            .get(kind)
-            .copied()
-            .unwrap_or(0)
+    /// Takes over what another host has seen; returns whether any of it is newer.
+    pub fn adopt(&self, other: &decisions::StoreProgress) -> bool {
+        self.progress
+            .send_if_modified(|progress| progress.adopt(other))
     }
 
     /// Waits until another host has seen a change newer than `since` and `timeout` has passed. If a
     /// watch has not delivered the change by then, its connection is considered dead.
-    pub async fn wait_until_stale(&self, kind: &str, since: u64, timeout: time::Duration) {
-        let is_newer =
-            |newest: &NewestRevisions| newest.get(kind).is_some_and(|seen| *seen > since);
-        if self
-            .newest_revisions
-            .subscribe()
-            .wait_for(is_newer)
-            .await
-            .is_ok()
-        {
+    pub async fn wait_until_stale(
+        &self,
+        kind: &str,
+        since: decisions::StoreRevision,
+        timeout: time::Duration,
+    ) {
+        let is_newer = |progress: &decisions::StoreProgress| progress.newest(kind) > since;
+        if self.progress.subscribe().wait_for(is_newer).await.is_ok() {
             tokio::time::sleep(timeout).await;
         }
     }
 
+    /// Waits until the store is known to have come back from an older copy than `era` belongs to.
+    pub async fn wait_until_restored(&self, era: decisions::StoreEra) {
+        let is_newer = |progress: &decisions::StoreProgress| progress.era > era;
+        if self.progress.subscribe().wait_for(is_newer).await.is_err() {
+            // The sender lives as long as `self`.
+            std::future::pending().await
+        }
+    }
+
     /// Records a successful call.
     pub(super) fn record_success(&self, permit: CallPermit<'_>) {
         if let Some(mut backoff) = permit {
--- a/crates/node/tests/gateway_list_watch.rs
+++ b/crates/node/tests/gateway_list_watch.rs
@@ -8,12 +8,23 @@
     Change, Followed, Freshness, Listing, StoreError, StoreEvent, StoreReader, StoreState,
     WatchBatch, WatchOptions, list_and_watch,
 };
+use yuccatide_steering::gateway::StoreRevision;
 
 const OPTIONS: WatchOptions = WatchOptions {
     initial_freshness: Freshness::MayBeStale,
     batch_delay: Duration::from_millis(800),
 };
 
+/// Position in the first era of the store.
+fn at(revision: u64) -> StoreRevision {
+    StoreRevision { era: 1, revision }
+}
+
+/// The position after another one.
+fn next(since: StoreRevision) -> StoreRevision {
+    at(since.revision + 1)
+}
+
 /// A store that changes at a steady rate and can be taken down.
 struct Store {
     is_down: atomic::AtomicBool,
@@ -52,7 +63,7 @@
                     store.lists.lock().unwrap().push(freshness);
                     Ok(Listing {
                         objects: vec![0],
-                        revision: 1,
+                        revision: at(1),
                     })
                 })
             }),
@@ -63,9 +74,9 @@
                     time::sleep(change_interval).await;
                     store.check_available()?;
                     Ok(WatchBatch {
-                        changes: vec![Change::Set(since)],
-                        revision: since + 1,
-                        newest_revision: since + 1,
+                        changes: vec![Change::Set(since.revision)],
+                        revision: next(since),
+                        newest: Some(next(since)),
                     })
                 })
             }),
@@ -212,10 +223,10 @@
     let script = async {
         time::sleep(Duration::from_secs(5)).await;
         store.take_calls();
-        store_state.record_revision("other", 7);
+        store_state.record("other", at(7));
         time::sleep(Duration::from_secs(5)).await;
         assert_eq!(store.take_calls(), 0);
-        store_state.record_revision("a", 7);
+        store_state.record("a", at(7));
         time::sleep(Duration::from_secs(2)).await;
         store.take_calls()
     };
@@ -238,14 +249,14 @@
         list: Store::default().shared().reader(Duration::ZERO).list,
         watch: Box::new(move |since| {
             Box::pin(async move {
-                if since > 1 {
+                if since > at(1) {
                     std::future::pending::<()>().await;
                 }
                 time::sleep(Duration::from_secs(1)).await;
                 Ok(WatchBatch {
-                    changes: vec![Change::Set(since)],
-                    revision: since + 1,
-                    newest_revision: since + 1,
+                    changes: vec![Change::Set(since.revision)],
+                    revision: next(since),
+                    newest: Some(next(since)),
                 })
             })
         }),
@@ -258,7 +269,7 @@
                     true => Err(StoreError::Unavailable("status 503".to_string())),
                     false => Ok(Listing {
                         objects: vec![0],
-                        revision: 1,
+                        revision: at(1),
                     }),
                 }
             })
--- a/crates/node/tests/gateway_store_copy.rs
+++ b/crates/node/tests/gateway_store_copy.rs
@@ -4,10 +4,16 @@
 
 use tokio::time;
 use yuccatide_node::gateway::{CopyError, RawChange, StoreCopy};
+use yuccatide_steering::gateway::StoreRevision;
 
 const NO_WAIT: Duration = Duration::ZERO;
 const LONG_WAIT: Duration = Duration::from_secs(20);
 
+/// Position in the first era of the store.
+fn at(revision: u64) -> StoreRevision {
+    StoreRevision { era: 1, revision }
+}
+
 fn set(name: &str, object: &str, revision: u64) -> RawChange {
     RawChange {
         name: name.to_string(),
@@ -27,30 +33,33 @@
 fn listed() -> StoreCopy {
     let copy = StoreCopy::default();
     let objects = [("a", "1"), ("b", "2")].map(|(name, text)| (name.into(), text.into()));
-    copy.replace(objects.into(), 10, true);
+    copy.replace(objects.into(), at(10), true);
     copy
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_list_contains_later_changes() {
     let copy = listed();
-    copy.apply(vec![set("a", "3", 11), deleted("b", 12)], 12, true);
+    copy.apply(vec![set("a", "3", 11), deleted("b", 12)], at(12), true);
     let listing = copy.list(NO_WAIT).await.unwrap();
-    assert_eq!((listing.objects, listing.revision), (vec!["3".into()], 12));
+    assert_eq!(
+        (listing.objects, listing.revision),
+        (vec!["3".into()], at(12))
+    );
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_watch_returns_only_changes_after_its_revision() {
     let copy = listed();
-    copy.apply(vec![set("a", "3", 11), set("a", "4", 12)], 12, true);
-    let watched = copy.watch(11, LONG_WAIT).await.unwrap();
+    copy.apply(vec![set("a", "3", 11), set("a", "4", 12)], at(12), true);
+    let watched = copy.watch(at(11), LONG_WAIT).await.unwrap();
     assert_eq!(
         (watched.changes, watched.revision),
-        (vec![set("a", "4", 12)], 12)
+        (vec![set("a", "4", 12)], at(12))
     );
-    copy.apply(vec![deleted("b", 15)], 15, true);
+    copy.apply(vec![deleted("b", 15)], at(15), true);
     assert_eq!(
-        copy.watch(12, LONG_WAIT).await.unwrap().changes,
+        copy.watch(at(12), LONG_WAIT).await.unwrap().changes,
         [deleted("b", 15)]
     );
 }
@@ -59,27 +68,30 @@
 async fn a_watch_waits_for_a_change_and_ends_with_it() {
     let copy = sync::Arc::new(listed());
     let watcher = sync::Arc::clone(&copy);
-    let watch = tokio::spawn(async move { watcher.watch(10, LONG_WAIT).await });
+    let watch = tokio::spawn(async move { watcher.watch(at(10), LONG_WAIT).await });
     time::sleep(Duration::from_secs(3)).await;
     assert!(!watch.is_finished());
-    copy.apply(vec![set("c", "5", 13)], 13, true);
+    copy.apply(vec![set("c", "5", 13)], at(13), true);
     assert_eq!(watch.await.unwrap().unwrap().changes, [set("c", "5", 13)]);
-    let quiet = copy.watch(13, LONG_WAIT).await.unwrap();
-    assert_eq!((quiet.changes, quiet.revision), (Vec::new(), 13));
+    let quiet = copy.watch(at(13), LONG_WAIT).await.unwrap();
+    assert_eq!((quiet.changes, quiet.revision), (Vec::new(), at(13)));
 }
 
 /// A watch that starts after what the copy has seen must not go back.
 #[tokio::test(start_paused = true)]
 async fn a_watch_from_a_later_revision_does_not_go_back() {
     let copy = listed();
-    assert_eq!(copy.watch(17, LONG_WAIT).await.unwrap().revision, 17);
+    assert_eq!(
+        copy.watch(at(17), LONG_WAIT).await.unwrap().revision,
+        at(17)
+    );
 }
 
 #[tokio::test(start_paused = true)]
 async fn readers_of_a_host_that_lost_the_store_are_told_at_once() {
     let copy = sync::Arc::new(listed());
     let watcher = sync::Arc::clone(&copy);
-    let watch = tokio::spawn(async move { watcher.watch(10, LONG_WAIT).await });
+    let watch = tokio::spawn(async move { watcher.watch(at(10), LONG_WAIT).await });
     time::sleep(Duration::from_secs(1)).await;
     copy.set_not_current();
     assert_eq!(watch.await.unwrap(), Err(CopyError::NotCurrent));
@@ -90,12 +102,15 @@
 #[tokio::test(start_paused = true)]
 async fn what_was_read_from_another_host_is_not_passed_on() {
     let copy = StoreCopy::default();
-    copy.replace(vec![("a".into(), "1".into())], 10, false);
+    copy.replace(vec![("a".into(), "1".into())], at(10), false);
     assert_eq!(copy.list(NO_WAIT).await, Err(CopyError::NotCurrent));
-    copy.apply(vec![set("a", "2", 11)], 11, false);
-    assert_eq!(copy.watch(10, LONG_WAIT).await, Err(CopyError::NotCurrent));
+    copy.apply(vec![set("a", "2", 11)], at(11), false);
+    assert_eq!(
+        copy.watch(at(10), LONG_WAIT).await,
+        Err(CopyError::NotCurrent)
+    );
     // Its first call to the store makes it a source.
-    copy.apply(Vec::new(), 11, true);
+    copy.apply(Vec::new(), at(11), true);
     assert_eq!(copy.list(NO_WAIT).await.unwrap().objects, ["2"]);
 }
 
@@ -105,17 +120,66 @@
     let lister = sync::Arc::clone(&copy);
     let list = tokio::spawn(async move { lister.list(Duration::from_secs(2)).await });
     time::sleep(Duration::from_secs(1)).await;
-    copy.replace(vec![("a".into(), "1".into())], 10, true);
+    copy.replace(vec![("a".into(), "1".into())], at(10), true);
     assert_eq!(list.await.unwrap().unwrap().objects, ["1"]);
 }
 
 #[tokio::test(start_paused = true)]
 async fn changes_before_a_list_or_beyond_the_bound_are_gone() {
     let copy = listed();
-    assert_eq!(copy.watch(9, LONG_WAIT).await, Err(CopyError::HistoryGone));
+    assert_eq!(
+        copy.watch(at(9), LONG_WAIT).await,
+        Err(CopyError::HistoryGone)
+    );
     for revision in 11..4000 {
-        copy.apply(vec![set("a", "1", revision)], revision, true);
+        copy.apply(vec![set("a", "1", revision)], at(revision), true);
     }
-    assert_eq!(copy.watch(10, LONG_WAIT).await, Err(CopyError::HistoryGone));
-    assert_eq!(copy.watch(3990, LONG_WAIT).await.unwrap().changes.len(), 9);
+    assert_eq!(
+        copy.watch(at(10), LONG_WAIT).await,
+        Err(CopyError::HistoryGone)
+    );
+    assert_eq!(
+        copy.watch(at(3990), LONG_WAIT).await.unwrap().changes.len(),
+        9
+    );
+}
+
+/// Guards against followers that wait for a revision which the source will not reach for long,
+/// because the store has come back from an older copy.
+#[tokio::test(start_paused = true)]
+async fn a_watch_ends_when_the_store_came_back_older() {
+    let copy = sync::Arc::new(listed());
+    let watcher = sync::Arc::clone(&copy);
+    let watch = tokio::spawn(async move { watcher.watch(at(10), LONG_WAIT).await });
+    time::sleep(Duration::from_secs(1)).await;
+    let restored = StoreRevision {
+        era: 2,
+        revision: 7,
+    };
+    copy.replace(vec![("a".into(), "0".into())], restored, true);
+    assert_eq!(watch.await.unwrap(), Err(CopyError::HistoryGone));
+    assert_eq!(
+        copy.watch(at(5), NO_WAIT).await,
+        Err(CopyError::HistoryGone)
+    );
+    assert_eq!(
+        copy.watch(at(50), NO_WAIT).await,
+        Err(CopyError::HistoryGone)
+    );
+    assert_eq!(copy.list(NO_WAIT).await.unwrap().revision, restored);
+    assert_eq!(copy.watch(restored, NO_WAIT).await.unwrap().changes, []);
+}
+
+/// A host that has not noticed the return yet is no source for one that has.
+#[tokio::test(start_paused = true)]
+async fn a_copy_of_an_earlier_era_is_not_current() {
+    let copy = listed();
+    let restored = StoreRevision {
+        era: 2,
+        revision: 7,
+    };
+    assert_eq!(
+        copy.watch(restored, NO_WAIT).await,
+        Err(CopyError::NotCurrent)
+    );
 }
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use super::{send_shares, signal_book, store_readers};
+use super::{send_shares, signal_book, store_readers, store_revision};
 use crate::model;
 
 /// Interval between heartbeats within a data centre.
@@ -75,8 +75,8 @@
     pub blocks: Vec<(net::IpAddr, model::DataCentreId)>,
     /// Shares used by its look-ups, of names whose shares have been in use for the settling time.
     pub shares: Vec<LookupShares>,
-    /// Newest known revision of each kind of object in the store.
-    pub newest: collections::BTreeMap<String, u64>,
+    /// How far the store has come, as far as the sender knows.
+    pub store: store_revision::StoreProgress,
     /// Limits that backend servers have named.
     pub limits: Vec<signal_book::SignalNews<f64>>,
     /// Backend servers that have said that they leave.
@@ -124,8 +124,8 @@
     pub blocks: Vec<(net::IpAddr, model::DataCentreId)>,
     /// Shares used by its look-ups, of names whose shares have been in use for the settling time.
     pub shares: Vec<LookupShares>,
-    /// Newest known revision of each kind of object in the store.
-    pub newest: collections::BTreeMap<String, u64>,
+    /// How far the store has come, as far as the sender knows.
+    pub store: store_revision::StoreProgress,
     /// Limits that backend servers have named.
     pub limits: Vec<signal_book::SignalNews<f64>>,
     /// Backend servers that have said that they leave.
@@ -439,7 +439,7 @@
             loads: sum_loads(all.flat_map(|heartbeat| &heartbeat.loads)),
             blocks: heartbeat.blocks.clone(),
             shares: heartbeat.shares.clone(),
-            newest: heartbeat.newest.clone(),
+            store: heartbeat.store.clone(),
             limits: heartbeat.limits.clone(),
             leaving: heartbeat.leaving.clone(),
         }
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod signal_book;
 mod signals;
 mod store_readers;
+mod store_revision;
 mod target_shares;
 mod traffic_splitter;
 
@@ -44,4 +45,5 @@
 pub use signal_book::{SignalBook, SignalNews};
 pub use signals::{ServerSignals, SignalChange};
 pub use store_readers::sources as store_sources;
+pub use store_revision::{StoreEra, StoreProgress, StoreRevision};
 pub use traffic_splitter::TrafficSplitter;
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -16,3 +16,4 @@
 mod server_set;
 mod service_times;
 mod store_readers;
+mod store_revision;
