Send nothing to servers that left, although their entries are back

Callers would see: after the store has come back from an older copy, their requests go to servers that had left in the lost seconds, and running servers that had joined in them get none.

Cause: the first list after the return was applied like any other. Its entries are as old as the copy. Class: an old record is believed over what was seen since.

The first list of a new era is applied as such. An entry that has a server as ready which was seen draining or removed, in this incarnation, gets the mark of a server that says itself that it leaves: it gets no request, other hosts hear of it, also those that started since, and after ten seconds the server's own status decides. Servers without an entry are kept for the 2.3 s in which they register again. An entry of an earlier incarnation than the known one is not applied.

Tests: with the list applied as before, feed a_server_that_left_gets_no_requests_ when_the_store_comes_back_older fails; restored (three, virtual time) and feed pass now.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -135,6 +135,14 @@
                     .iter()
                     .for_each(|(id, removal)| report::removal(id, *removal));
             }
+            update::Update::RestoredServers(entries) => {
+                let (missing, left) = state.dispatcher.replace_restored(entries, now);
+                missing
+                    .iter()
+                    .for_each(|(id, removal)| report::removal(id, *removal));
+                left.iter()
+                    .for_each(|id| report::departed_server_restored(id));
+            }
             update::Update::Server(entry) => {
                 log::info!(
                     server = entry.id, service = entry.service,
--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -120,6 +120,8 @@
 pub enum StoreEvent<T> {
     /// All objects.
     Listed(Vec<T>),
+    /// All objects of a store that has come back from an older copy since the last list.
+    Restored(Vec<T>),
     /// One change.
     Changed(Change<T>),
     /// Whether the store responds.
@@ -135,7 +137,8 @@
     mut on_event: impl FnMut(StoreEvent<T>),
 ) {
     let mut freshness = options.initial_freshness;
-    let mut revision = None;
+    let mut revision: Option<decisions::StoreRevision> = None;
+    let mut listed_era: Option<decisions::StoreEra> = None;
     let mut was_interrupted = false;
     let mut was_store_failed = false;
     loop {
@@ -171,9 +174,14 @@
                 }
                 match read {
                     Read::Listing(listing) => {
-                        state.record_era(listing.revision.era);
+                        let era = listing.revision.era;
+                        state.record_era(era);
                         revision = Some(listing.revision);
-                        on_event(StoreEvent::Listed(listing.objects));
+                        let is_restored = listed_era.replace(era).is_some_and(|last| last < era);
+                        on_event(match is_restored {
+                            true => StoreEvent::Restored(listing.objects),
+                            false => StoreEvent::Listed(listing.objects),
+                        });
                     }
                     Read::Changes(batch) => {
                         if let Some(newest) = batch.newest {
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -56,6 +56,11 @@
     );
 }
 
+/// Logs that the store, come back from an older copy, has a backend server as ready that has left.
+pub(super) fn departed_server_restored(id: &str) {
+    log::info!(server = id; "entry of a backend server that has left is back; not used");
+}
+
 /// Logs that a backend server has named another limit on its rate, or none any more; `source` is
 /// `answer` for an own attempt, or `host` where another host tells.
 pub(super) fn limit_change(
--- a/crates/node/src/gateway/update.rs
+++ b/crates/node/src/gateway/update.rs
@@ -11,6 +11,8 @@
     Policy(gateway::Policy),
     /// All registered backend servers.
     Servers(Vec<gateway::ServerEntry>),
+    /// All backend servers that are registered in a store which has come back from an older copy.
+    RestoredServers(Vec<gateway::ServerEntry>),
     /// A backend server that registered or changed.
     Server(gateway::ServerEntry),
     /// A backend server whose entry was deleted or became invalid.
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -386,6 +386,27 @@
             .record(server.name_hash, entry.incarnation, value, now)
     }
 
+    /// Applies the complete list of a store that has come back from an older copy.  A backend server
+    /// that has left, though the list has it as ready, is marked as one that says so itself: its own
+    /// status ends the mark, and other hosts hear of it.  Returns the servers that the list lacks,
+    /// with what became of them, and those that were marked.
+    pub fn replace_restored(
+        &mut self,
+        entries: Vec<server::ServerEntry>,
+        now: model::Time,
+    ) -> (
+        Vec<(model::ServerId, server_set::Removal)>,
+        Vec<model::ServerId>,
+    ) {
+        let (missing, left) = self.servers.replace_restored(entries, now);
+        for entry in &left {
+            let name = server::name_hash(&entry.id);
+            let leaving = &mut self.shares.leaving;
+            leaving.record(name, entry.incarnation, Some(()), now);
+        }
+        (missing, left.into_iter().map(|entry| entry.id).collect())
+    }
+
     /// Drops signals that have ended.
     pub fn expire_signals(&mut self, now: model::Time) {
         self.shares.limits.expire(MAX_LIMIT_AGE, now);
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -107,12 +107,17 @@
     pub(super) missing_since: Option<model::Time>,
 }
 
+/// Hash of a backend server's name; identical on all hosts.
+pub(super) fn name_hash(id: &str) -> u64 {
+    xxh3::xxh3_64(id.as_bytes())
+}
+
 impl Server {
     /// Creates the view of a backend server of which only the entry is known.
     pub fn new(entry: ServerEntry, now: model::Time) -> Server {
         Server {
             cold_until: now + entry.warmup_left,
-            name_hash: xxh3::xxh3_64(entry.id.as_bytes()),
+            name_hash: name_hash(&entry.id),
             is_evacuated: false,
             last_report: (model::Time::ZERO, 0),
             entry,
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -35,6 +35,10 @@
 /// others: a summary of another data centre, and the heartbeats before and after it.
 const REVISION_NEWS_DELAY: time::Duration = time::Duration::from_millis(1500);
 
+/// Time for which it is known that a backend server has left.  It exceeds the age of the copies from
+/// which the store comes back.
+const DEPARTURE_MEMORY: time::Duration = time::Duration::from_secs(60);
+
 /// Backend servers of one service, by data centre.
 type Groups = collections::BTreeMap<model::DataCentreId, Vec<ServerIndex>>;
 
@@ -47,6 +51,10 @@
     evacuated: collections::BTreeSet<model::DataCentreId>,
     warmups: collections::BTreeMap<model::ServiceId, time::Duration>,
     last_index: ServerIndex,
+    /// Backend servers that were removed: their incarnation, and when.
+    departed: collections::HashMap<model::ServerId, (model::Incarnation, model::Time)>,
+    /// Time at which the store last came back from an older copy; `None` if it never did.
+    restored_at: Option<model::Time>,
     /// Interval at which backend servers renew their entries.
     renewal_interval: time::Duration,
     /// Last time at which the store is known to have served any host; `None` if never.
@@ -75,6 +83,8 @@
             evacuated: collections::BTreeSet::new(),
             warmups: collections::BTreeMap::new(),
             last_index: 0,
+            departed: collections::HashMap::new(),
+            restored_at: None,
             renewal_interval: DEFAULT_RENEWAL_INTERVAL,
             last_served: None,
             last_failure: None,
@@ -131,7 +141,7 @@
             }
             return Removal::Deferred;
         }
-        self.delete(index);
+        self.delete(index, now);
         Removal::Removed
     }
 
@@ -162,6 +172,45 @@
             .collect()
     }
 
+    /// Applies the complete list of a store that has come back from an older copy.  Entries written
+    /// since that copy are lost: backend servers without one are kept until they had time to register
+    /// again, and an entry of an earlier incarnation than the known one is not applied.  Returns the
+    /// missing ones, and those that have left though the list has them as ready.
+    pub fn replace_restored(
+        &mut self,
+        entries: Vec<server::ServerEntry>,
+        now: model::Time,
+    ) -> (Vec<(model::ServerId, Removal)>, Vec<server::ServerEntry>) {
+        self.restored_at = Some(now);
+        let left = entries.iter().filter(|entry| self.has_left(entry));
+        let left = left.cloned().collect();
+        let entries = entries.into_iter().map(|entry| {
+            let known = self.entry(&entry.id);
+            let later = known.filter(|known| known.incarnation > entry.incarnation);
+            later.cloned().unwrap_or(entry)
+        });
+        let entries = entries.collect();
+        (self.replace(entries, now), left)
+    }
+
+    /// Whether an entry says that a backend server is ready which was seen to leave.
+    fn has_left(&self, entry: &server::ServerEntry) -> bool {
+        let was_draining = self.entry(&entry.id).is_some_and(|known| {
+            known.state == server::ServerState::Draining && known.incarnation >= entry.incarnation
+        });
+        let was_removed = self
+            .departed
+            .get(&entry.id)
+            .is_some_and(|(incarnation, _)| *incarnation >= entry.incarnation);
+        entry.state == server::ServerState::Ready && (was_draining || was_removed)
+    }
+
+    /// Entry of a backend server, if it is known.
+    fn entry(&self, id: &str) -> Option<&server::ServerEntry> {
+        let index = self.indices.get(id)?;
+        Some(&self.servers.get(index)?.entry)
+    }
+
     /// Records whether a call to the store, or to a host that reads it, succeeded; returns whether
     /// that changed.
     pub fn set_store_available(&mut self, is_available: bool, now: model::Time) -> bool {
@@ -207,6 +256,8 @@
     /// Removes the backend servers that did not register again after an outage of the store, and
     /// returns them with the time for which their entries were missing.
     pub fn remove_missing(&mut self, now: model::Time) -> Vec<(model::ServerId, time::Duration)> {
+        self.departed
+            .retain(|_, (_, at)| now <= *at + DEPARTURE_MEMORY);
         if self.defers_removal(now) {
             return Vec::new();
         }
@@ -219,7 +270,7 @@
             .collect();
         gone.into_iter()
             .map(|(index, id, since)| {
-                self.delete(index);
+                self.delete(index, now);
                 (id, now.saturating_sub(since))
             })
             .collect()
@@ -313,6 +364,10 @@
     /// Whether an entry that is missing may belong to a running backend server that could not
     /// renew it.
     fn defers_removal(&self, now: model::Time) -> bool {
+        let is_restored = |at| now < at + REREGISTRATION_GRACE;
+        if self.restored_at.is_some_and(is_restored) {
+            return true;
+        }
         let Some(failure) = self.last_failure else {
             return false;
         };
@@ -325,9 +380,11 @@
                 .is_none_or(|start| end.saturating_sub(start) >= lapse_time)
     }
 
-    fn delete(&mut self, index: ServerIndex) {
+    fn delete(&mut self, index: ServerIndex, now: model::Time) {
         if let Some(server) = self.servers.remove(&index) {
             self.indices.remove(&server.entry.id);
+            let departure = (server.entry.incarnation, now);
+            self.departed.insert(server.entry.id.clone(), departure);
             self.leave_group(index, &server.entry.service, &server.entry.data_centre);
         }
     }
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod outcome;
 mod pauses;
 mod remote_in_flight;
+mod restored;
 mod retry_budget;
 mod routes;
 mod server_set;
