Keep a lost evacuation until operators had time to write it again

Callers would see: the store comes back from an older copy, and requests go to the servers of a data centre whose evacuation was lost with it; one that had been taken back stands still again.

Cause: evacuations of the copy were applied like any change. Class: an old record is believed over what was seen since.

For the 2.3 s that the store's other writers have, what was known before goes before the copy, for each data centre until it is written anew. Decisions move from the adapter to the gateway.

Tests: with the list applied as before, feed a_lost_evacuation_holds_while_the_ operator_writes_it_again fails (200, not 503); it and three in virtual time pass now.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -89,6 +89,7 @@
             .with_cold_tolerance(settings.cold_tolerance),
             members: decisions::Members::new(settings.member.clone())
                 .with_seeds(settings.seeds.clone()),
+            evacuations: decisions::Evacuations::default(),
             lookup_balancer: decisions::LookupBalancer::new(settings.max_shift),
             demand: demand::DemandEstimator::default(),
             client_retries: decisions::ClientRetryDetector::default(),
@@ -155,12 +156,16 @@
                 let removal = state.dispatcher.servers.remove(&id, now);
                 report::removal(&id, removal);
             }
-            update::Update::EvacuatedDataCentres(data_centres) => {
-                if *state.dispatcher.servers.evacuated() != data_centres {
-                    log::info!(data_centres:?; "evacuated data centres changed");
-                }
-                state.dispatcher.servers.set_evacuated(data_centres, now);
+            update::Update::Evacuations(data_centres) => {
+                state.evacuations.replace(data_centres);
+            }
+            update::Update::RestoredEvacuations(data_centres) => {
+                state.evacuations.replace_restored(data_centres, now);
             }
+            update::Update::Evacuation {
+                data_centre,
+                is_evacuated,
+            } => state.evacuations.set(data_centre, is_evacuated),
             update::Update::Members(members) => {
                 members
                     .into_iter()
@@ -172,6 +177,7 @@
                 }
             }
         }
+        state.apply_evacuations(now);
         self.decide(&mut state, now);
     }
 
@@ -190,6 +196,7 @@
             for (id, missing) in state.dispatcher.servers.remove_missing(now) {
                 report::not_registered_again(&id, missing);
             }
+            state.apply_evacuations(now);
             state.drop_dead_in_flight(now);
             if has_found_hosts && last_hosts_update.elapsed() >= HOSTS_UPDATE_INTERVAL {
                 last_hosts_update = time::Instant::now();
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -13,6 +13,7 @@
     pub(super) traffic_splitter: decisions::TrafficSplitter,
     pub(super) dispatcher: decisions::Dispatcher,
     pub(super) members: decisions::Members,
+    pub(super) evacuations: decisions::Evacuations,
     pub(super) lookup_balancer: decisions::LookupBalancer,
     pub(super) demand: demand::DemandEstimator,
     pub(super) client_retries: decisions::ClientRetryDetector,
@@ -71,6 +72,15 @@
         log::info!(version; "configuration applied");
     }
 
+    /// Applies the evacuations that are in force, if they have changed.
+    pub(super) fn apply_evacuations(&mut self, now: model::Time) {
+        let data_centres = self.evacuations.in_force(now);
+        if *self.dispatcher.servers.evacuated() != data_centres {
+            log::info!(data_centres:?; "evacuated data centres changed");
+            self.dispatcher.servers.set_evacuated(data_centres, now);
+        }
+    }
+
     /// Updates the look-up shares of all HTTP host names.
     pub(super) fn update_shares(&mut self, settings: &gateway::Settings, now: model::Time) {
         for name in self.route_table.host_names() {
--- a/crates/node/src/gateway/update.rs
+++ b/crates/node/src/gateway/update.rs
@@ -18,7 +18,16 @@
     /// A backend server whose entry was deleted or became invalid.
     ServerRemoved(model::ServerId),
     /// All data centres that must receive no requests.
-    EvacuatedDataCentres(collections::BTreeSet<model::DataCentreId>),
+    Evacuations(collections::BTreeSet<model::DataCentreId>),
+    /// The same, in a store that has come back from an older copy.
+    RestoredEvacuations(collections::BTreeSet<model::DataCentreId>),
+    /// A data centre that must receive no requests, or may again.
+    Evacuation {
+        /// The data centre.
+        data_centre: model::DataCentreId,
+        /// Whether it must receive none.
+        is_evacuated: bool,
+    },
     /// All registered hosts.
     Members(Vec<gateway::Member>),
     /// Whether the store responds.
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod client_retry;
 mod dispatcher;
+mod evacuations;
 mod fairness;
 mod lookup_balancer;
 mod members;
@@ -27,6 +28,7 @@
 
 pub use client_retry::ClientRetryDetector;
 pub use dispatcher::{Decision, Dispatcher, RetryLimits, Ticket};
+pub use evacuations::Evacuations;
 pub use lookup_balancer::{CapacityAndDemand, Client, LookupBalancer};
 pub use members::{
     HEARTBEAT_INTERVAL, Heartbeat, Load, LookupShares, Member, Members, Message, Outgoing,
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -11,7 +11,7 @@
 /// Time after the last failed call to the store by which running backend servers have registered
 /// again: they must do so within 2 s of the store's return, to which the interval between calls is
 /// added.
-const REREGISTRATION_GRACE: time::Duration = time::Duration::from_millis(2300);
+pub(super) const REREGISTRATION_GRACE: time::Duration = time::Duration::from_millis(2300);
 
 /// What became of a backend server whose entry was deleted.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod cold_rate;
 mod dispatcher;
+mod evacuations;
 mod fairness;
 mod fixtures;
 mod leaving;
