Log a fingerprint of requests whose attempt failed

Nothing in a host's logs tells whether the requests in progress at servers that ended have anything in common: each attempt of a client has an id of its own.

A line about a failed attempt carries a fingerprint of method, host, path, query and body.

--- a/crates/node/src/gateway/body.rs
+++ b/crates/node/src/gateway/body.rs
@@ -10,7 +10,7 @@
 pub type Body = combinators::UnsyncBoxBody<Bytes, Box<dyn error::Error + Send + Sync>>;
 
 /// Size up to which a body is buffered; only a request with a buffered body can be retried.
-const MAX_BUFFERED_BYTES: usize = 256 << 10;
+pub(super) const MAX_BUFFERED_BYTES: usize = 256 << 10;
 
 /// A body that was read up to the buffer size.
 pub(super) enum ReadBody {
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3;
 use yuccatide_steering::gateway as decisions;
 
-use super::{attempt, body, error, gateway, response};
+use super::{attempt, body, error, fingerprint, gateway, response};
 
 /// Retry-After of a refusal if no estimate of free capacity is available.
 const DEFAULT_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
@@ -16,6 +16,7 @@
 pub(super) struct ClientRequest {
     pub(super) head: http::request::Parts,
     pub(super) id: String,
+    pub(super) caller: net::IpAddr,
     pub(super) req: decisions::Request,
 }
 
@@ -158,7 +159,12 @@
         tried_servers: Vec::new(),
         route,
     };
-    Ok(ClientRequest { head, id, req })
+    Ok(ClientRequest {
+        head,
+        id,
+        caller: client,
+        req,
+    })
 }
 
 /// Hash of an object's name. Equal names on different routes yield different keys.
@@ -306,6 +312,7 @@
         log_failed_attempt(
             gateway,
             &client_req,
+            &bytes,
             &entry,
             progress.arrivals,
             outcome,
@@ -369,6 +376,7 @@
 fn log_failed_attempt(
     gateway: &gateway::Gateway,
     client_req: &ClientRequest,
+    body: &[u8],
     entry: &decisions::ServerEntry,
     arrivals: u32,
     outcome: decisions::Outcome,
@@ -382,8 +390,10 @@
     let Some(omitted) = gateway.admit_log_line("sending") else {
         return;
     };
+    let fingerprint = fingerprint::fingerprint(client_req.caller, &client_req.head, body);
     log::warn!(
-        request = client_req.id, route = client_req.req.route.name, server = entry.id,
+        request = client_req.id, fingerprint:% = format_args!("{fingerprint:032x}"),
+        route = client_req.req.route.name, server = entry.id,
         address:% = entry.address, outcome = outcome.as_str(), arrivals,
         error = result.as_ref().err().map(ToString::to_string),
         status = result.as_ref().ok().map(|received| received.response.status().as_u16()),
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod connection_pool;
 mod demand;
 mod error;
+mod fingerprint;
 mod forward;
 mod frontend;
 #[allow(
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -37,7 +37,7 @@
 pub use outcome::{NextAction, Outcome, Reason};
 pub use policy::{ClientLimits, Policy, Route, Service, WeightedService};
 pub use remote_in_flight::RemoteInFlight;
-pub use request::Request;
+pub use request::{Fingerprint, Request};
 pub use retry_budget::RetryBudget;
 pub use route_table::{RouteMatch, RouteTable};
 pub use send_shares::{ColdTolerance, KnownHosts};
--- a/crates/steering/src/gateway/request.rs
+++ b/crates/steering/src/gateway/request.rs
@@ -5,6 +5,9 @@
 use super::{policy, server_set};
 use crate::model;
 
+/// Recognises a request that is sent again; equal for all its attempts, on all hosts.
+pub type Fingerprint = u128;
+
 /// A request that waits for a backend server or is in progress at one.
 #[derive(Clone, Debug)]
 pub struct Request {
