--- a/crates/node/src/backend/connection.rs
+++ b/crates/node/src/backend/connection.rs
@@ -1,6 +1,6 @@
 //! One HTTP/1.1 connection to a backend server.
 
-use std::{error, net, sync, sync::atomic, time};
+use std::{error, io, net, sync, sync::atomic, time};
 
 use hyper::{body, client::conn::http1};
 use hyper_util::rt;
@@ -35,18 +35,15 @@
         open: sync::Arc<()>,
     ) -> Result<Connection<B>, Error> {
         let connect = async {
-            let stream = TcpStream::connect(address)
-                .await
-                .map_err(|e| e.to_string())?;
-            stream.set_nodelay(true).map_err(|e| e.to_string())?;
+            let stream = TcpStream::connect(address).await.map_err(refusal)?;
+            stream.set_nodelay(true).map_err(refusal)?;
             http1::handshake(rt::TokioIo::new(stream))
                 .await
-                .map_err(|e| e.to_string())
+                .map_err(|e| Error::Connect(e.to_string()))
         };
         let (sender, driver) = tokio::time::timeout(timeout, connect)
             .await
-            .map_err(|_| Error::Connect("timeout".to_string()))?
-            .map_err(Error::Connect)?;
+            .map_err(|_| Error::Connect("timeout".to_string()))??;
         let driver = tokio::spawn(async move {
             let _ = driver.await;
         });
@@ -102,3 +99,11 @@
         !self.sender.is_closed() && self.idle_since.elapsed() < max_idle
     }
 }
+
+/// Why no connection was made.
+fn refusal(e: io::Error) -> Error {
+    match e.kind() {
+        io::ErrorKind::ConnectionRefused => Error::Refused,
+        _ => Error::Connect(e.to_string()),
+    }
+}
--- a/crates/node/src/backend/error.rs
+++ b/crates/node/src/backend/error.rs
@@ -8,6 +8,9 @@
     /// No connection was made; no byte was sent.
     #[error("no connection: {0}")]
     Connect(String),
+    /// The server's address refused the connection; no byte was sent.
+    #[error("no connection: refused")]
+    Refused,
     /// All connections that the server accepts are in use; no byte was sent.
     #[error("all connections are in use")]
     Connections,
@@ -28,6 +31,9 @@
 impl Error {
     /// Whether the server is proven not to have run the request.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Error::Connect(_) | Error::Connections | Error::Shed)
+        matches!(
+            self,
+            Error::Connect(_) | Error::Refused | Error::Connections | Error::Shed
+        )
     }
 }
--- a/crates/node/src/engine/attempt.rs
+++ b/crates/node/src/engine/attempt.rs
@@ -71,7 +71,9 @@
             backend::Error::Crossed => "crossed answer",
             backend::Error::TooLarge(_) => "answer too large",
             backend::Error::Broken(_) => "broken connection",
-            backend::Error::Connect(_) | backend::Error::Connections => "no connection",
+            backend::Error::Connect(_) | backend::Error::Refused | backend::Error::Connections => {
+                "no connection"
+            }
         };
         self.metrics.fault(cause);
         log::debug!(server = server, error:% = e; "an attempt failed");
--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -28,6 +28,7 @@
     pub(super) client_req: &'a forward::ClientRequest,
     pub(super) index: decisions::ServerIndex,
     pub(super) entry: &'a decisions::ServerEntry,
+    pub(super) fingerprint: decisions::Fingerprint,
     pub(super) ticket: decisions::Ticket,
     /// Time of the choice of the backend server.
     pub(super) chosen_at: model::Time,
@@ -66,7 +67,8 @@
         gateway,
         connection_id,
     };
-    if !gateway.may_still_send(attempt.ticket) {
+    let is_blocked = gateway.blocked_for(attempt.fingerprint).is_some();
+    if is_blocked || !gateway.may_still_send(attempt.ticket) {
         return Err(error::Error::Withdrawn);
     }
     let delay = gateway.clock.now().saturating_sub(attempt.chosen_at);
--- a/crates/node/src/gateway/connection_pool.rs
+++ b/crates/node/src/gateway/connection_pool.rs
@@ -17,6 +17,9 @@
 /// Timeout of a connection attempt; a round trip between regions takes a tenth of it.
 const CONNECT_TIMEOUT: time::Duration = time::Duration::from_millis(400);
 
+/// Time within which a server that is gone refuses a connection; a request waits for it.
+const REFUSAL_TIMEOUT: time::Duration = time::Duration::from_millis(100);
+
 /// A connection to a backend server.
 pub(super) type Connection = connection::Connection<body::Body>;
 
@@ -62,6 +65,22 @@
         None
     }
 
+    /// Whether a backend server refuses connections, which shows that it is gone where one to it has
+    /// just broken.  A connection that it accepts is kept for the next request.
+    pub(super) async fn is_refused(
+        &self,
+        index: gateway::ServerIndex,
+        address: net::SocketAddr,
+    ) -> bool {
+        match connection::Connection::open(address, REFUSAL_TIMEOUT, sync::Arc::new(())).await {
+            Ok(connection) => {
+                self.release(index, address, connection, None);
+                false
+            }
+            Err(e) => matches!(e, backend::Error::Refused),
+        }
+    }
+
     /// Returns a connection to the pool; `keep_alive` is the idle timeout of the backend server.
     pub(super) fn release(
         &self,
--- a/crates/node/src/gateway/error.rs
+++ b/crates/node/src/gateway/error.rs
@@ -12,7 +12,7 @@
     #[error(transparent)]
     Backend(#[from] backend::Error),
     /// The backend server was to get no more requests when the connection was ready.
-    #[error("the backend server left before the request was sent")]
+    #[error("the backend server left, or the request was blocked, before it was sent")]
     Withdrawn,
     /// The response is not the backend server's response to this request.
     #[error("invalid response: {0}")]
@@ -20,6 +20,11 @@
 }
 
 impl Error {
+    /// Whether the connection broke, as it does when the backend server crashes.
+    pub(super) fn is_connection_broken(&self) -> bool {
+        matches!(self, Error::Backend(backend::Error::Broken(_)))
+    }
+
     /// Outcome of the attempt.
     pub(super) fn outcome(&self) -> gateway::Outcome {
         match self {
--- a/crates/node/src/gateway/fingerprint.rs
+++ b/crates/node/src/gateway/fingerprint.rs
@@ -1,6 +1,6 @@
 //! Recognises requests that are sent again.
 
-use std::net;
+use std::fmt;
 
 use http::{header, request};
 use sha2::Digest;
@@ -8,24 +8,22 @@
 
 use super::body;
 
-/// Fingerprint of a request: equal for requests of a caller with the same method, host, path, query
-/// and body, whatever their ids.  Of a body that is not buffered only the start is known.  Callers
-/// choose what is hashed, so the hash is a cryptographic one.
-pub(super) fn fingerprint(
-    caller: net::IpAddr,
-    head: &request::Parts,
-    body: &[u8],
-) -> decisions::Fingerprint {
-    let host = head.headers.get(header::HOST);
-    let host = host.map_or(&[][..], |host| host.as_bytes());
+/// Fingerprint of a request: equal for requests with the same method, host, path, query, credentials
+/// and body, whatever their ids and the addresses that they come from.  Of a body that is not
+/// buffered only the start is known.  Callers choose what is hashed, so the hash is a cryptographic
+/// one.
+pub(super) fn fingerprint(head: &request::Parts, body: &[u8]) -> decisions::Fingerprint {
+    let bytes = |name| {
+        let value: Option<&http::HeaderValue> = head.headers.get(name);
+        value.map_or(&[][..], http::HeaderValue::as_bytes)
+    };
     let path = head.uri.path_and_query();
     let path = path.map_or("", |path| path.as_str());
-    let caller = caller.to_string();
     let parts = [
-        caller.as_bytes(),
         head.method.as_str().as_bytes(),
-        host,
+        bytes(header::HOST),
         path.as_bytes(),
+        bytes(header::AUTHORIZATION),
         &body[..body.len().min(body::MAX_BUFFERED_BYTES)],
     ];
     let mut hash = sha2::Sha256::new();
@@ -38,3 +36,12 @@
     bytes.copy_from_slice(&hash.finalize()[..size_of::<decisions::Fingerprint>()]);
     decisions::Fingerprint::from_le_bytes(bytes)
 }
+
+/// Writes a fingerprint as it stands in the log.
+pub(super) struct Hex(pub(super) decisions::Fingerprint);
+
+impl fmt::Display for Hex {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -16,7 +16,6 @@
 pub(super) struct ClientRequest {
     pub(super) head: http::request::Parts,
     pub(super) id: String,
-    pub(super) caller: net::IpAddr,
     pub(super) req: decisions::Request,
 }
 
@@ -159,12 +158,7 @@
         tried_servers: Vec::new(),
         route,
     };
-    Ok(ClientRequest {
-        head,
-        id,
-        caller: client,
-        req,
-    })
+    Ok(ClientRequest { head, id, req })
 }
 
 /// Hash of an object's name. Equal names on different routes yield different keys.
@@ -268,7 +262,12 @@
         body::ReadBody::Partial(bytes, rest) => (bytes, Some(rest)),
     };
     let is_body_buffered = rest.is_none();
+    let fingerprint = fingerprint::fingerprint(&client_req.head, &bytes);
     loop {
+        if let Some(retry_after) = gateway.blocked_for(fingerprint) {
+            let reason = decisions::Reason::CrashesServers;
+            return give_up(gateway, &client_req, progress, reason, retry_after);
+        }
         let (mut guard, rx) = AbandonGuard::submit(gateway, &client_req);
         let Ok(gateway::TimedDecision { decision, at }) = rx.await else {
             let reason = decisions::Reason::Stopping;
@@ -293,6 +292,7 @@
             client_req: &client_req,
             index,
             entry: &entry,
+            fingerprint,
             ticket: guard.ticket,
             chosen_at: at,
             is_sent: &progress.is_attempt_sent,
@@ -307,12 +307,25 @@
             Err(e) => (e.outcome(), None),
         };
         gateway.finish_attempt(guard.ticket, outcome, signals);
+        match &result {
+            Ok(_) if !outcome.was_not_executed() => gateway.record_answer(fingerprint),
+            Err(e) if e.is_connection_broken() => {
+                if gateway
+                    .connection_pool
+                    .is_refused(index, entry.address)
+                    .await
+                {
+                    gateway.record_crash(fingerprint, &entry);
+                }
+            }
+            _ => {}
+        }
         progress.arrivals += u32::from(outcome.reached_server());
         progress.has_maybe_run |= !outcome.was_not_executed();
         log_failed_attempt(
             gateway,
             &client_req,
-            &bytes,
+            fingerprint,
             &entry,
             progress.arrivals,
             outcome,
@@ -376,7 +389,7 @@
 fn log_failed_attempt(
     gateway: &gateway::Gateway,
     client_req: &ClientRequest,
-    body: &[u8],
+    fingerprint: decisions::Fingerprint,
     entry: &decisions::ServerEntry,
     arrivals: u32,
     outcome: decisions::Outcome,
@@ -390,9 +403,8 @@
     let Some(omitted) = gateway.admit_log_line("sending") else {
         return;
     };
-    let fingerprint = fingerprint::fingerprint(client_req.caller, &client_req.head, body);
     log::warn!(
-        request = client_req.id, fingerprint:% = format_args!("{fingerprint:032x}"),
+        request = client_req.id, fingerprint:% = fingerprint::Hex(fingerprint),
         route = client_req.req.route.name, server = entry.id,
         address:% = entry.address, outcome = outcome.as_str(), arrivals,
         error = result.as_ref().err().map(ToString::to_string),
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -89,6 +89,7 @@
             .with_cold_tolerance(settings.cold_tolerance),
             members: decisions::Members::new(settings.member.clone())
                 .with_seeds(settings.seeds.clone()),
+            crash_book: decisions::CrashBook::default(),
             evacuations: decisions::Evacuations::default(),
             lookup_balancer: decisions::LookupBalancer::new(settings.max_shift),
             demand: demand::DemandEstimator::default(),
@@ -207,6 +208,7 @@
                 last_sample = time::Instant::now();
                 state.demand.end_interval();
                 state.dispatcher.expire_signals(now);
+                state.crash_book.expire(now);
                 state.update_shares(&self.settings, now);
                 report::update_gauges(&self.metrics, &state, &self.store_state, now);
             }
@@ -284,6 +286,11 @@
             .unwrap_or_default()
     }
 
+    /// Whether other data centres should be told at once of a request that crashes backend servers.
+    pub(super) fn take_urgency(&self) -> bool {
+        self.lock().crash_book.take_urgency()
+    }
+
     /// Messages to send to other hosts now.
     pub fn outgoing_messages(&self, include_summary: bool) -> Vec<decisions::Outgoing> {
         let now = self.clock.now();
@@ -309,6 +316,7 @@
             store: self.store_state.progress(),
             limits: state.dispatcher.limits().news(now),
             leaving: state.dispatcher.leaving_news(now),
+            crashes: state.crash_book.reports(now),
             contacts,
         };
         let summary = include_summary
@@ -333,10 +341,12 @@
             decisions::Message::Heartbeat(h) => {
                 self.adopt_news(&mut state, &h.blocks, &h.shares, &h.store, now);
                 state.adopt_signals(&h.limits, &h.leaving, now);
+                state.adopt_crashes(&h.crashes, now);
             }
             decisions::Message::Summary { summary: s, .. } => {
                 self.adopt_news(&mut state, &s.blocks, &s.shares, &s.store, now);
                 state.adopt_signals(&s.limits, &s.leaving, now);
+                state.adopt_crashes(&s.crashes, now);
             }
             decisions::Message::Introduction(_) | decisions::Message::Contacts(_) => {}
         }
@@ -474,6 +484,38 @@
         self.decide(&mut state, now);
     }
 
+    /// Records that a backend server crashed with a request in progress.
+    pub(super) fn record_crash(
+        &self,
+        fingerprint: decisions::Fingerprint,
+        entry: &decisions::ServerEntry,
+    ) {
+        self.metrics.server_crashes.inc();
+        let now = self.clock.now();
+        let crash = decisions::Crash::of(entry);
+        if self.lock().crash_book.record(fingerprint, crash, now, now) {
+            report::request_blocked(fingerprint, "answer");
+        }
+    }
+
+    /// Records a complete answer to a request.
+    pub(super) fn record_answer(&self, fingerprint: decisions::Fingerprint) {
+        let now = self.clock.now();
+        self.lock().crash_book.record_answer(fingerprint, now);
+    }
+
+    /// Time for which a request must not be sent, since backend servers crash under it; `None` if it
+    /// may be.
+    pub(super) fn blocked_for(
+        &self,
+        fingerprint: decisions::Fingerprint,
+    ) -> Option<time::Duration> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let is_blocked = state.crash_book.is_blocked(fingerprint, now);
+        is_blocked.then(|| state.crash_book.blocked_for(fingerprint, now))
+    }
+
     /// Whether the backend server chosen for an attempt still accepts requests.
     pub(super) fn may_still_send(&self, ticket: decisions::Ticket) -> bool {
         let now = self.clock.now();
--- a/crates/node/src/gateway/gossip.rs
+++ b/crates/node/src/gateway/gossip.rs
@@ -23,7 +23,8 @@
     loop {
         tokio::select! {
             _ = heartbeat.tick() => {
-                let summary_due = last_summary.elapsed() >= decisions::SUMMARY_INTERVAL;
+                let is_urgent = gateway.take_urgency();
+                let summary_due = last_summary.elapsed() >= decisions::SUMMARY_INTERVAL || is_urgent;
                 if summary_due {
                     last_summary = time::Instant::now();
                 }
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -72,6 +72,8 @@
     pub(super) missing_servers: gauge::Gauge,
     pub(super) limited_servers: gauge::Gauge,
     pub(super) leaving_servers: gauge::Gauge,
+    pub(super) server_crashes: counter::Counter,
+    pub(super) blocked_requests: gauge::Gauge,
     pub(super) unreadable_signals: counter::Counter,
     pub(super) store_answers: gauge::Gauge,
     pub(super) store_era: gauge::Gauge,
@@ -101,6 +103,8 @@
             missing_servers: gauge::Gauge::default(),
             limited_servers: gauge::Gauge::default(),
             leaving_servers: gauge::Gauge::default(),
+            server_crashes: counter::Counter::default(),
+            blocked_requests: gauge::Gauge::default(),
             unreadable_signals: counter::Counter::default(),
             send_delay: histogram::Histogram::new(SEND_DELAY_BUCKETS_S),
             cold_attempts: counter::Counter::default(),
@@ -177,6 +181,16 @@
             "Backend servers that have said in an answer that they leave",
             self.leaving_servers.clone(),
         );
+        registry.register(
+            "server_crashes",
+            "Attempts that were in progress at a backend server when it crashed",
+            self.server_crashes.clone(),
+        );
+        registry.register(
+            "blocked_requests",
+            "Requests that no host sends any more, since backend servers crash under them",
+            self.blocked_requests.clone(),
+        );
         registry.register(
             "unreadable_signals",
             "Headers with signals of backend servers that could not be read",
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -4,7 +4,7 @@
 
 use yuccatide_steering::{gateway as decisions, model};
 
-use super::{gateway, metrics, state, store_state};
+use super::{fingerprint, gateway, metrics, state, store_state};
 
 /// Logs and counts a request that goes to a cold backend server, with the hosts of the data
 /// centre that this one knows; they share the server's rate.
@@ -61,6 +61,15 @@
     log::info!(server = id; "entry of a backend server that has left is back; not used");
 }
 
+/// Logs that no host sends a request any more, since backend servers crash under it; `source` is
+/// `answer` for an own attempt, or `host` where other hosts saw the last crash.
+pub(super) fn request_blocked(fingerprint: decisions::Fingerprint, source: &'static str) {
+    log::warn!(
+        fingerprint:% = fingerprint::Hex(fingerprint), source;
+        "request blocked; backend servers crash under it"
+    );
+}
+
 /// Logs that a backend server has named another limit on its rate, or none any more; `source` is
 /// `answer` for an own attempt, or `host` where another host tells.
 pub(super) fn limit_change(
@@ -115,6 +124,8 @@
     metrics
         .config_version
         .set(i64::try_from(version).unwrap_or(i64::MAX));
+    let blocked = state.crash_book.blocked_count(now);
+    metrics.blocked_requests.set(count(blocked));
     metrics.waiting.set(count(state.dispatcher.waiting_count()));
     metrics.hosts.set(count(state.members.live_host_count(now)));
     metrics.servers.set(count(servers.len()));
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -13,6 +13,7 @@
     pub(super) traffic_splitter: decisions::TrafficSplitter,
     pub(super) dispatcher: decisions::Dispatcher,
     pub(super) members: decisions::Members,
+    pub(super) crash_book: decisions::CrashBook,
     pub(super) evacuations: decisions::Evacuations,
     pub(super) lookup_balancer: decisions::LookupBalancer,
     pub(super) demand: demand::DemandEstimator,
@@ -43,6 +44,13 @@
         }
     }
 
+    /// Takes over what another host has seen of requests that crash backend servers.
+    pub(super) fn adopt_crashes(&mut self, crashes: &[decisions::CrashReport], now: model::Time) {
+        for fingerprint in self.crash_book.adopt(crashes, now) {
+            report::request_blocked(fingerprint, "host");
+        }
+    }
+
     /// Name of the backend server whose name has this hash.
     fn server_named(&self, hash: u64) -> Option<&str> {
         let mut servers = self.dispatcher.servers.iter();
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use super::{send_shares, signal_book, store_readers, store_revision};
+use super::{crash_book, send_shares, signal_book, store_readers, store_revision};
 use crate::model;
 
 /// Interval between heartbeats within a data centre.
@@ -81,6 +81,8 @@
     pub limits: Vec<signal_book::SignalNews<f64>>,
     /// Backend servers that have said that they leave.
     pub leaving: Vec<signal_book::SignalNews<()>>,
+    /// Requests that were in progress at backend servers that crashed.
+    pub crashes: Vec<crash_book::CrashReport>,
     /// Some other live hosts of its data centre, in turn.
     pub contacts: Vec<Member>,
 }
@@ -130,6 +132,8 @@
     pub limits: Vec<signal_book::SignalNews<f64>>,
     /// Backend servers that have said that they leave.
     pub leaving: Vec<signal_book::SignalNews<()>>,
+    /// Requests that were in progress at backend servers that crashed.
+    pub crashes: Vec<crash_book::CrashReport>,
 }
 
 /// A message between hosts.
@@ -442,6 +446,7 @@
             store: heartbeat.store.clone(),
             limits: heartbeat.limits.clone(),
             leaving: heartbeat.leaving.clone(),
+            crashes: heartbeat.crashes.clone(),
         }
     }
 
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -3,6 +3,7 @@
 
 mod admission;
 mod client_retry;
+mod crash_book;
 mod dispatcher;
 mod evacuations;
 mod fairness;
@@ -27,6 +28,7 @@
 mod traffic_splitter;
 
 pub use client_retry::ClientRetryDetector;
+pub use crash_book::{Crash, CrashBook, CrashReport};
 pub use dispatcher::{Decision, Dispatcher, RetryLimits, Ticket};
 pub use evacuations::Evacuations;
 pub use lookup_balancer::{CapacityAndDemand, Client, LookupBalancer};
--- a/crates/steering/src/gateway/outcome.rs
+++ b/crates/steering/src/gateway/outcome.rs
@@ -46,6 +46,8 @@
     Budget,
     /// The host is shutting down.
     Stopping,
+    /// Backend servers crash under it.
+    CrashesServers,
 }
 
 impl Reason {
@@ -59,6 +61,7 @@
             Reason::Attempts => "attempts",
             Reason::Budget => "budget",
             Reason::Stopping => "stopping",
+            Reason::CrashesServers => "crashes-servers",
         }
     }
 }
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision logic of the HTTP gateway.
 
 mod cold_rate;
+mod crash_book;
 mod dispatcher;
 mod evacuations;
 mod fairness;
--- a/crates/steering/tests/gateway/members.rs
+++ b/crates/steering/tests/gateway/members.rs
@@ -71,6 +71,7 @@
                     store: Default::default(),
                     limits: Vec::new(),
                     leaving: Vec::new(),
+                    crashes: Vec::new(),
                     contacts: Vec::new(),
                 };
                 let summary = (now_ms % 480 == 0)
@@ -193,6 +194,7 @@
         store: Default::default(),
         limits: Vec::new(),
         leaving: Vec::new(),
+        crashes: Vec::new(),
         contacts: Vec::new(),
     };
     members.receive(gateway::Message::Heartbeat(heartbeat), ms(0));
