--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -310,13 +310,7 @@
         match &result {
             Ok(_) if !outcome.was_not_executed() => gateway.record_answer(fingerprint),
             Err(e) if e.is_connection_broken() => {
-                if gateway
-                    .connection_pool
-                    .is_refused(index, entry.address)
-                    .await
-                {
-                    gateway.record_crash(fingerprint, &entry);
-                }
+                record_crash(gateway, fingerprint, index, &entry).await;
             }
             _ => {}
         }
@@ -359,6 +353,20 @@
     }
 }
 
+/// Records that a backend server, the connection to which has broken, crashed under a request, if it
+/// is gone.
+async fn record_crash(
+    gateway: &gateway::Gateway,
+    fingerprint: decisions::Fingerprint,
+    index: decisions::ServerIndex,
+    entry: &decisions::ServerEntry,
+) {
+    let pool = &gateway.connection_pool;
+    if pool.is_refused(index, entry.address).await {
+        gateway.record_crash(fingerprint, entry);
+    }
+}
+
 /// Ends a request that is not retried. It is refused only if it has not run.
 fn give_up(
     gateway: &gateway::Gateway,
