--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -196,30 +196,34 @@
     let left = client_req.req.deadline.saturating_sub(gateway.clock.now());
     let mut progress = Progress::default();
     let (id, route) = (client_req.id.clone(), client_req.req.route.clone());
-    let served = tokio::time::timeout(
-        left,
-        send_with_retries(gateway, client_req, incoming, &mut progress),
-    )
-    .await;
-    if let Ok(response) = served {
-        return response;
-    }
+    let (message, reason) = tokio::select! {
+        response = send_with_retries(gateway, client_req, incoming, &mut progress) => {
+            return response;
+        }
+        () = tokio::time::sleep(left) => {
+            ("request deadline exceeded", decisions::Reason::Overload)
+        }
+        () = gateway.wait_for_grace_end() => {
+            ("grace period is over; request ended", decisions::Reason::Stopping)
+        }
+    };
     if let Some(omitted) = gateway.admit_log_line("timeout") {
         // `waited_ms` is the time that was left until the deadline when serving began.
         log::warn!(
             request = id, route = route.name,
             may_have_run = progress.may_have_run(),
             arrivals = progress.arrivals, waited_ms = left.as_millis() as u64, omitted;
-            "request deadline exceeded"
+            "{message}"
         );
     }
-    timeout_response(&progress)
+    response_without_answer(&progress, reason)
 }
 
-fn timeout_response(progress: &Progress) -> response::Response {
+/// Response to a request that no backend server has answered in time.
+fn response_without_answer(progress: &Progress, reason: decisions::Reason) -> response::Response {
     match progress.may_have_run() {
         true => response::text(http::StatusCode::GATEWAY_TIMEOUT, "timeout"),
-        false => response::refusal(decisions::Reason::Overload, DEFAULT_RETRY_AFTER),
+        false => response::refusal(reason, DEFAULT_RETRY_AFTER),
     }
 }
 
@@ -264,8 +268,7 @@
     let is_body_buffered = rest.is_none();
     let fingerprint = fingerprint::fingerprint(&client_req.head, &bytes);
     loop {
-        if let Some(retry_after) = gateway.blocked_for(fingerprint) {
-            let reason = decisions::Reason::CrashesServers;
+        if let Some((reason, retry_after)) = why_not_sent(gateway, &client_req, fingerprint) {
             return give_up(gateway, &client_req, progress, reason, retry_after);
         }
         let (mut guard, rx) = AbandonGuard::submit(gateway, &client_req);
@@ -283,6 +286,9 @@
                 return give_up(gateway, &client_req, progress, reason, retry_after);
             }
         };
+        if let Some((reason, retry_after)) = why_not_sent(gateway, &client_req, fingerprint) {
+            return give_up(gateway, &client_req, progress, reason, retry_after);
+        }
         let body = match rest.take() {
             None => body::full(bytes.clone()),
             Some(rest) => body::prefixed(bytes.clone(), rest, ()),
@@ -353,6 +359,20 @@
     }
 }
 
+/// Why a request must not be sent now, with the time after which it may be, if there is a reason.
+fn why_not_sent(
+    gateway: &gateway::Gateway,
+    client_req: &ClientRequest,
+    fingerprint: decisions::Fingerprint,
+) -> Option<(decisions::Reason, time::Duration)> {
+    if let Some(blocked_for) = gateway.blocked_for(fingerprint) {
+        return Some((decisions::Reason::CrashesServers, blocked_for));
+    }
+    // Other hosts can take it at once.
+    let can_answer = gateway.can_answer_before_stop(&client_req.req);
+    (!can_answer).then_some((decisions::Reason::Stopping, time::Duration::ZERO))
+}
+
 /// Records that a backend server, the connection to which has broken, crashed under a request, if it
 /// is gone.
 async fn record_crash(
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -3,6 +3,7 @@
 use std::{collections, net, sync, time};
 
 use tokio::sync::oneshot;
+use tokio_util::sync as tokio_sync;
 use yuccatide_steering::{gateway as decisions, matching, model};
 
 use super::{
@@ -64,6 +65,7 @@
     own_data_centre: model::DataCentreId,
     settings: Settings,
     started: model::Time,
+    grace_end: tokio_sync::CancellationToken,
     state: sync::Mutex<state::State>,
 }
 
@@ -96,7 +98,7 @@
             client_retries: decisions::ClientRetryDetector::default(),
             pending_attempts: matching::PendingAttempts::new(),
             decision_senders: collections::HashMap::new(),
-            is_stopping: false,
+            stops_at: None,
         };
         // Until it knows the other hosts, it must not use a whole rate alone.
         state
@@ -113,6 +115,7 @@
             metrics: metrics::Metrics::new(),
             own_data_centre,
             settings,
+            grace_end: tokio_sync::CancellationToken::new(),
             state: sync::Mutex::new(state),
         }
     }
@@ -248,17 +251,38 @@
     /// stop has begun, the frontend still accepts connections for `STOP_ACCEPT_WINDOW`.
     pub fn is_ready(&self) -> bool {
         let state = self.lock();
-        state.route_table.version().is_some() && !state.is_stopping
+        state.route_table.version().is_some() && state.stops_at.is_none()
     }
 
     /// Whether the host is stopping.
     pub fn is_stopping(&self) -> bool {
-        self.lock().is_stopping
+        self.lock().stops_at.is_some()
     }
 
-    /// Begins a planned stop: look-ups no longer return this host, but it still serves requests.
-    pub fn begin_stop(&self) {
-        self.lock().is_stopping = true;
+    /// Begins a planned stop: look-ups no longer return this host, but for `grace` it still serves
+    /// requests that it can answer in this time.
+    pub fn begin_stop(&self, grace: time::Duration) {
+        self.lock().stops_at = Some(self.clock.now() + grace);
+    }
+
+    /// Ends the grace period of a planned stop: requests in progress are answered at once.
+    pub fn end_grace(&self) {
+        self.grace_end.cancel();
+    }
+
+    /// Waits until the grace period of a planned stop is over.
+    pub(super) async fn wait_for_grace_end(&self) {
+        self.grace_end.cancelled().await;
+    }
+
+    /// Whether a request that is sent now can be answered before a planned stop ends.
+    pub(super) fn can_answer_before_stop(&self, req: &decisions::Request) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        state.stops_at.is_none_or(|end| {
+            let expected = now + state.dispatcher.longest_service_time(&req.route);
+            req.deadline.min(expected) <= end
+        })
     }
 
     /// Addresses of the hosts that a caller should use for a name.
@@ -269,7 +293,7 @@
         state
             .demand
             .record_client(client.address, &client.data_centre);
-        let is_self_ready = state.route_table.version().is_some() && !state.is_stopping;
+        let is_self_ready = state.route_table.version().is_some() && state.stops_at.is_none();
         state
             .lookup_balancer
             .rank_data_centres(name, client)
@@ -300,7 +324,7 @@
         let contacts = state.members.contacts_to_send(now);
         let heartbeat = decisions::Heartbeat {
             member: self.settings.member.clone(),
-            is_ready: state.route_table.version().is_some() && !state.is_stopping,
+            is_ready: state.route_table.version().is_some() && state.stops_at.is_none(),
             in_flight,
             loads: state.demand.loads(),
             blocks: if include_summary {
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -21,7 +21,8 @@
     pub(super) pending_attempts: matching::PendingAttempts,
     pub(super) decision_senders:
         collections::HashMap<decisions::Ticket, oneshot::Sender<gateway::TimedDecision>>,
-    pub(super) is_stopping: bool,
+    /// End of the grace period of a planned stop; `None` before one has begun.
+    pub(super) stops_at: Option<model::Time>,
 }
 
 impl State {
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -32,6 +32,10 @@
 /// rates of the backend servers.
 const NO_SHARE_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
 
+/// Service time that a request is granted at a stopping host, relative to the expected one without
+/// its object in the server's cache.
+const SERVICE_TIME_MARGIN: f64 = 1.5;
+
 /// Decision on a waiting request.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Decision {
@@ -199,6 +203,13 @@
         time::Duration::from_secs_f64(self.times.expected_seconds(route, true))
     }
 
+    /// Time within which a request on this route is expected to be answered once it is sent, with a
+    /// margin for slow backend servers.
+    pub fn longest_service_time(&self, route: &policy::Route) -> time::Duration {
+        let seconds = self.times.expected_seconds(route, false);
+        time::Duration::from_secs_f64(seconds * SERVICE_TIME_MARGIN)
+    }
+
     /// Whether any request waits for a backend server.
     pub fn has_waiting(&self) -> bool {
         self.waiting.values().any(|queue| !queue.is_empty())
