Have the soak's store come back from an older copy

Each time with faults has one such return, drawn by itself so that a seed keeps its other events; it overlaps restarts, cuts and readers that change.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -51,6 +51,9 @@
     LosesWrites,
     /// It drops its history, and stale reads lag.
     Compacts,
+    /// At the end it comes back from a copy of the beginning; operators and servers write again what
+    /// they wrote since.
+    ComesBackOlder,
 }
 
 /// What is wrong with the answers of a backend server.
@@ -164,6 +167,7 @@
 pub fn plan(seed: u64, size: Size, length: Duration) -> Vec<Event> {
     let mut events = faults(seed, size, length);
     events.extend(signals(seed, size, length));
+    events.extend(returns_of_the_store(seed, length));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -196,6 +200,24 @@
     events
 }
 
+/// Returns of the store from an older copy, drawn by themselves for the same reason: one in each time
+/// with faults.
+fn returns_of_the_store(seed: u64, length: Duration) -> Vec<Event> {
+    let mut rng = Pcg64::seed_from_u64(seed.rotate_left(32) ^ 1);
+    let mut events = Vec::new();
+    let mut start = START;
+    while start < length {
+        let offset = rng.random_range(0..FAULTY.as_millis() as u64);
+        events.push(Event {
+            at: start + Duration::from_millis(offset),
+            lasts: Duration::from_millis(rng.random_range(500..6000)),
+            fault: Fault::Store(StoreTrouble::ComesBackOlder),
+        });
+        start += FAULTY + CALM;
+    }
+    events
+}
+
 fn faults(seed: u64, size: Size, length: Duration) -> Vec<Event> {
     let mut rng = Pcg64::seed_from_u64(seed);
     let mut events = Vec::new();
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -27,6 +27,9 @@
 /// Slowness of the store in [`StoreTrouble::Slow`], and the delay of a lost write.
 const SLOW_STORE: Duration = Duration::from_millis(400);
 
+/// Time after the store's return in which operators and servers notice what it has lost.
+const WRITE_AGAIN_DELAY: Duration = Duration::from_millis(800);
+
 /// Versions of [`Fault::Storm`], and the pause between them.
 const STORM: (u32, Duration) = (5, Duration::from_millis(150));
 
@@ -44,6 +47,8 @@
     /// What was seen.
     pub book: book::Book,
     version: u64,
+    /// Copy from which the store comes back, with [`StoreTrouble::ComesBackOlder`] in progress.
+    backup: Option<store::StoreBackup>,
     evacuated: collections::HashMap<usize, book::At>,
 }
 
@@ -82,6 +87,7 @@
             store,
             book,
             version: 0,
+            backup: None,
             evacuated: collections::HashMap::new(),
         };
         world.change_config();
@@ -204,6 +210,7 @@
             Fault::Callers(host, _) => self.hosts[host].callers.set(None),
             Fault::StoreLink(host, _) => self.hosts[host].store.set(None),
             Fault::ServerLink(place, _) => self.places[place].link.set(None),
+            Fault::Store(StoreTrouble::ComesBackOlder) => self.restore_store().await,
             Fault::Store(_) => {
                 self.store.set_mode(store::Mode::Available);
                 self.store.set_stale_reads(false);
@@ -277,12 +284,30 @@
         Ok(is_running)
     }
 
-    fn disturb_store(&self, trouble: StoreTrouble) -> bool {
+    /// The store comes back from its copy, and those who wrote to it since write again.
+    async fn restore_store(&mut self) {
+        let Some(backup) = self.backup.take() else {
+            return;
+        };
+        let lost = self.store.backup();
+        self.store.restore(backup, &[]);
+        self.store.cut_connections();
+        tokio::time::sleep(WRITE_AGAIN_DELAY).await;
+        let (config, _) = objects::CONFIG_OBJECT;
+        let kinds = [objects::SERVERS_KIND, config, objects::EVACUATIONS_KIND];
+        self.store.write_again(&lost, &kinds);
+    }
+
+    fn disturb_store(&mut self, trouble: StoreTrouble) -> bool {
         let mode = match trouble {
             StoreTrouble::Busy => store::Mode::Status(503),
             StoreTrouble::Silent => store::Mode::Unresponsive,
             StoreTrouble::Slow => store::Mode::Slow(SLOW_STORE),
             StoreTrouble::LosesWrites => store::Mode::WriteWithoutReply(SLOW_STORE),
+            StoreTrouble::ComesBackOlder => {
+                self.backup = Some(self.store.backup());
+                return true;
+            }
             StoreTrouble::Compacts => {
                 self.store.set_stale_reads(true);
                 self.store.compact();
