Take over the newer configuration of another host

Callers would see: a host that starts after the store has come back from an older copy reads the configuration of the copy, and refuses requests on routes that were added since and are served by its peers, until the operator writes again.

Cause: the store alone counted as a source of the configuration. Class: an old record is believed over what was seen since, here by others.

Hosts tell each other the version that they have in force. Versions only rise, and the first host that has one read it from the store, so nothing is taken that was never written there.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -338,6 +338,7 @@
                 Vec::new()
             },
             store: self.store_state.progress(),
+            version: state.route_table.version(),
             limits: state.dispatcher.limits().news(now),
             leaving: state.dispatcher.leaving_news(now),
             crashes: state.crash_book.reports(now),
@@ -413,6 +414,19 @@
         self.lock().members.store_sources(now)
     }
 
+    /// Address of a host that has a newer configuration in force than this one.
+    pub fn newer_policy_source(&self) -> Option<net::SocketAddr> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let (version, address) = state.members.newest_version(now)?;
+        (Some(version) > state.route_table.version()).then_some(address)
+    }
+
+    /// The configuration in force.
+    pub fn policy(&self) -> Option<decisions::Policy> {
+        self.lock().route_table.policy().cloned()
+    }
+
     /// Whether the host has had time to find the others of its data centre since its start.
     pub fn has_found_hosts(&self) -> bool {
         let now = self.clock.now();
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -77,6 +77,8 @@
     pub shares: Vec<LookupShares>,
     /// How far the store has come, as far as the sender knows.
     pub store: store_revision::StoreProgress,
+    /// Version of the configuration in force.
+    pub version: Option<model::Version>,
     /// Limits that backend servers have named.
     pub limits: Vec<signal_book::SignalNews<f64>>,
     /// Backend servers that have said that they leave.
@@ -128,6 +130,8 @@
     pub shares: Vec<LookupShares>,
     /// How far the store has come, as far as the sender knows.
     pub store: store_revision::StoreProgress,
+    /// Version of the configuration in force.
+    pub version: Option<model::Version>,
     /// Limits that backend servers have named.
     pub limits: Vec<signal_book::SignalNews<f64>>,
     /// Backend servers that have said that they leave.
@@ -359,6 +363,18 @@
         contacts
     }
 
+    /// The host that has the newest configuration in force, as far as this one has heard, with its
+    /// version.  Of another data centre it is the one that sends the summaries.
+    pub fn newest_version(&self, now: model::Time) -> Option<(model::Version, net::SocketAddr)> {
+        let local = self
+            .live_heartbeats(now)
+            .filter_map(|heartbeat| Some((heartbeat.version?, heartbeat.member.peers)));
+        let remote = self
+            .live_summaries(now)
+            .filter_map(|summary| Some((summary.version?, summary.members.first()?.peers)));
+        local.chain(remote).max_by_key(|(version, _)| *version)
+    }
+
     /// Addresses of the hosts that this one reads the store from, preferred first; none if it
     /// reads the store itself.
     pub fn store_sources(&self, now: model::Time) -> Vec<net::SocketAddr> {
@@ -444,6 +460,7 @@
             blocks: heartbeat.blocks.clone(),
             shares: heartbeat.shares.clone(),
             store: heartbeat.store.clone(),
+            version: heartbeat.version,
             limits: heartbeat.limits.clone(),
             leaving: heartbeat.leaving.clone(),
             crashes: heartbeat.crashes.clone(),
--- a/crates/steering/src/gateway/policy.rs
+++ b/crates/steering/src/gateway/policy.rs
@@ -2,10 +2,12 @@
 
 use std::{collections, time};
 
+use serde::{Deserialize, Serialize};
+
 use crate::model;
 
 /// One complete version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Policy {
     /// Version number; larger numbers are newer.
     pub version: model::Version,
@@ -18,7 +20,7 @@
 }
 
 /// A set of requests, selected by host name and path prefix, and how they are served.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Name; unique within a version.
     pub name: model::WorkId,
@@ -46,7 +48,7 @@
 }
 
 /// A service's share of a route's requests.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WeightedService {
     /// Name of the service.
     pub service: model::ServiceId,
@@ -55,7 +57,7 @@
 }
 
 /// Settings of a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
     /// Path at which a backend server tells its status.
     pub health_check: String,
@@ -68,7 +70,7 @@
 }
 
 /// Bounds on the size of a client's requests and on the time that it may take to send them.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ClientLimits {
     /// Largest size of a request's headers in bytes.
     pub max_header_bytes: usize,
