--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -364,12 +364,12 @@
         let mut state = self.lock();
         match &message {
             decisions::Message::Heartbeat(h) => {
-                self.adopt_news(&mut state, &h.blocks, &h.shares, &h.store, now);
+                self.adopt_shared_state(&mut state, &h.blocks, &h.shares, &h.store, now);
                 state.adopt_signals(&h.limits, &h.leaving, now);
                 state.adopt_crashes(&h.crashes, now);
             }
             decisions::Message::Summary { summary: s, .. } => {
-                self.adopt_news(&mut state, &s.blocks, &s.shares, &s.store, now);
+                self.adopt_shared_state(&mut state, &s.blocks, &s.shares, &s.store, now);
                 state.adopt_signals(&s.limits, &s.leaving, now);
                 state.adopt_crashes(&s.crashes, now);
             }
@@ -387,8 +387,8 @@
         state.members.receive(message, now)
     }
 
-    /// Takes over what a message says besides its sender's state.
-    fn adopt_news(
+    /// Takes over what a message reports besides the state of its sender.
+    fn adopt_shared_state(
         &self,
         state: &mut state::State,
         blocks: &[(net::IpAddr, model::DataCentreId)],
--- a/crates/node/src/gateway/store_copy.rs
+++ b/crates/node/src/gateway/store_copy.rs
@@ -153,11 +153,11 @@
         wait: time::Duration,
     ) -> Result<RawChanges, CopyError> {
         let mut state = self.state.subscribe();
-        let has_news = |state: &State| {
+        let has_update = |state: &State| {
             !state.is_current || state.revision.era != since.era || state.revision > since
         };
         // After the wait the present state is the answer.
-        let _ = tokio::time::timeout(wait, state.wait_for(has_news)).await;
+        let _ = tokio::time::timeout(wait, state.wait_for(has_update)).await;
         let state = state.borrow();
         if !state.is_current || state.revision.era < since.era {
             return Err(CopyError::NotCurrent);
