Note what an attempt shows before waiting for anything (REFUSED)

Callers would see: a request that may not be repeated is answered 503, not run, though a server ran it and crashed.

Cause: since requests under which servers crash are counted, a host whose connection broke tries for up to 0.1 s whether the server is gone. In this time the attempt counted neither as in progress nor as run, and a deadline that passed was answered with a refusal.

The order is now: note, then try.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -313,6 +313,9 @@
             Err(e) => (e.outcome(), None),
         };
         gateway.finish_attempt(guard.ticket, outcome, signals);
+        progress.arrivals += u32::from(outcome.reached_server());
+        progress.has_maybe_run |= !outcome.was_not_executed();
+        // Only now: the deadline may pass while the server's address is tried.
         match &result {
             Ok(_) if !outcome.was_not_executed() => gateway.record_answer(fingerprint),
             Err(e) if e.is_connection_broken() => {
@@ -320,8 +323,6 @@
             }
             _ => {}
         }
-        progress.arrivals += u32::from(outcome.reached_server());
-        progress.has_maybe_run |= !outcome.was_not_executed();
         log_failed_attempt(
             gateway,
             &client_req,
