Give messages between hosts and a gateway's settings files of their own

Messages move from members, the settings from gateway, the order in which refused clients return from dispatcher to admission. Moves only; behaviour stays (steering's gateway tests pass).

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -7,8 +7,8 @@
 use yuccatide_steering::{gateway as decisions, matching, model};
 
 use super::{
-    connection_pool, demand, header_names, log_limit, metrics, report, state, status_check,
-    store_state, update,
+    connection_pool, demand, header_names, log_limit, metrics, report, settings, state,
+    status_check, store_state, update,
 };
 use crate::clock;
 
@@ -31,27 +31,6 @@
 /// Longest time in which a restarted host waits for the other hosts of its data centre.
 const RESTART_TIME: time::Duration = time::Duration::from_millis(300);
 
-/// Settings of a gateway.
-#[derive(Clone, Debug)]
-pub struct Settings {
-    /// This host.
-    pub member: decisions::Member,
-    /// Addresses of some hosts, which may be down or replaced.
-    pub seeds: Vec<net::SocketAddr>,
-    /// Whether the whole deployment starts for the first time.
-    pub is_first_start: bool,
-    /// Region of each data centre.
-    pub regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
-    /// Interval at which backend servers renew their entries in the store.
-    pub renewal_interval: time::Duration,
-    /// How much more than their rate cold backend servers tolerate.
-    pub cold_tolerance: decisions::ColdTolerance,
-    /// Bounds on retries.
-    pub retry: decisions::RetryLimits,
-    /// Share of a region's callers that may move to another region within 2 s.
-    pub max_shift: f64,
-}
-
 /// The HTTP gateway of a host.
 pub struct Gateway {
     pub(super) header_names: header_names::HeaderNames,
@@ -63,7 +42,7 @@
     /// Counters, histograms and gauges.
     pub metrics: metrics::Metrics,
     own_data_centre: model::DataCentreId,
-    settings: Settings,
+    settings: settings::Settings,
     started: model::Time,
     grace_end: tokio_sync::CancellationToken,
     state: sync::Mutex<state::State>,
@@ -77,7 +56,7 @@
 
 impl Gateway {
     /// Creates a gateway that has neither a configuration nor backend servers.
-    pub fn new(settings: Settings, header_names: header_names::HeaderNames) -> Gateway {
+    pub fn new(settings: settings::Settings, header_names: header_names::HeaderNames) -> Gateway {
         let own_data_centre = settings.member.data_centre.clone();
         let mut state = state::State {
             route_table: decisions::RouteTable::default(),
@@ -122,7 +101,7 @@
 
     /// Applies changed bounds on retries and shifts; changes of
     /// other settings take effect when the process is restarted.
-    pub fn reload(&self, settings: Settings) {
+    pub fn reload(&self, settings: settings::Settings) {
         let mut state = self.lock();
         state.dispatcher.set_limits(settings.retry);
         state.lookup_balancer.set_max_shift(settings.max_shift);
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -24,6 +24,7 @@
 mod metrics;
 mod report;
 mod response;
+mod settings;
 mod state;
 mod status_check;
 mod store_copy;
@@ -32,7 +33,7 @@
 
 pub use body::Body;
 pub use frontend::Frontend;
-pub use gateway::{Gateway, Settings};
+pub use gateway::Gateway;
 pub use gossip::gossip;
 pub use header_names::HeaderNames;
 pub use list_watch::{
@@ -40,6 +41,7 @@
     WatchOptions, list_and_watch,
 };
 pub use metrics::Metrics;
+pub use settings::Settings;
 pub use store_copy::{CopyError, RawChange, RawChanges, RawListing, StoreCopy};
 pub use store_state::StoreState;
 pub use update::Update;
--- /dev/null
+++ b/crates/node/src/gateway/settings.rs
@@ -0,0 +1,26 @@
+//! Settings of a gateway.
+
+use std::{collections, net, time};
+
+use yuccatide_steering::{gateway as decisions, model};
+
+/// Settings of a gateway.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// This host.
+    pub member: decisions::Member,
+    /// Addresses of some hosts, which may be down or replaced.
+    pub seeds: Vec<net::SocketAddr>,
+    /// Whether the whole deployment starts for the first time.
+    pub is_first_start: bool,
+    /// Region of each data centre.
+    pub regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
+    /// Interval at which backend servers renew their entries in the store.
+    pub renewal_interval: time::Duration,
+    /// How much more than their rate cold backend servers tolerate.
+    pub cold_tolerance: decisions::ColdTolerance,
+    /// Bounds on retries.
+    pub retry: decisions::RetryLimits,
+    /// Share of a region's callers that may move to another region within 2 s.
+    pub max_shift: f64,
+}
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -5,7 +5,7 @@
 use tokio::sync::oneshot;
 use yuccatide_steering::{gateway as decisions, matching, model};
 
-use super::{demand, gateway, report};
+use super::{demand, gateway, report, settings};
 
 /// Decisions and what they rest on.
 pub(super) struct State {
@@ -91,7 +91,7 @@
     }
 
     /// Updates the look-up shares of all HTTP host names.
-    pub(super) fn update_shares(&mut self, settings: &gateway::Settings, now: model::Time) {
+    pub(super) fn update_shares(&mut self, settings: &settings::Settings, now: model::Time) {
         for name in self.route_table.host_names() {
             let spread = self.capacity_and_demand(&name, settings, now);
             self.lookup_balancer.update_shares(&name, &spread, now);
@@ -133,7 +133,7 @@
     fn capacity_and_demand(
         &self,
         name: &str,
-        settings: &gateway::Settings,
+        settings: &settings::Settings,
         now: model::Time,
     ) -> decisions::CapacityAndDemand {
         let routes = self.route_table.routes(name);
--- a/crates/steering/src/gateway/admission.rs
+++ b/crates/steering/src/gateway/admission.rs
@@ -2,9 +2,12 @@
 
 use std::time;
 
-use super::{outcome, placement, request, server_set};
+use super::{dispatcher, outcome, placement, request, server_set};
 use crate::model;
 
+/// Part of a pause over which the clients come back that were refused in it.
+const RETURN_SPREAD: f64 = 0.5;
+
 /// Part of the time between arrival and deadline within which a new request that misses its
 /// objective must be expected to complete.  A request that would take longer is refused at once, so
 /// that its client does not spend its time waiting for nothing.
@@ -127,3 +130,18 @@
         false => AdmissionDecision::Refuse(outcome::Reason::Overload, wait.max(MIN_RETRY_AFTER)),
     }
 }
+
+/// Time after which a client should retry when the servers that it waits for end their pauses.
+/// Without an order, all would come back at that moment: the more urgent come first, and those of
+/// one rank one after the other.
+pub(super) fn order_of_return(
+    wait: time::Duration,
+    rank: u32,
+    ticket: dispatcher::Ticket,
+) -> time::Duration {
+    const MAX_RANK: u32 = 4;
+    const PLACES: u64 = 8;
+    let place = (ticket % PLACES) as f64 / PLACES as f64;
+    let order = (f64::from(rank.min(MAX_RANK)) + place) / f64::from(MAX_RANK + 1);
+    wait.mul_f64(1.0 + RETURN_SPREAD * order)
+}
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -25,9 +25,6 @@
 /// ready; most have ended by the first one.
 const LEAVING_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
-/// Part of a pause over which the clients come back that were refused in it.
-const RETURN_SPREAD: f64 = 0.5;
-
 /// Time after which a client should retry that this host can't serve because other hosts use up the
 /// rates of the backend servers.
 const NO_SHARE_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
@@ -503,9 +500,11 @@
                 }
                 admission::AdmissionDecision::Refuse(reason, retry_after) => {
                     let retry_after = match choice.is_some_and(|choice| choice.is_paused) {
-                        true => {
-                            order_of_return(retry_after, waiting.req.route.rank, waiting.ticket)
-                        }
+                        true => admission::order_of_return(
+                            retry_after,
+                            waiting.req.route.rank,
+                            waiting.ticket,
+                        ),
                         false => retry_after,
                     };
                     decisions.push((
@@ -580,17 +579,6 @@
     }
 }
 
-/// Time after which a client should retry when the servers that it waits for end their pauses.
-/// Without an order, all would come back at that moment: the more urgent come first, and those of
-/// one rank one after the other.
-fn order_of_return(wait: time::Duration, rank: u32, ticket: Ticket) -> time::Duration {
-    const MAX_RANK: u32 = 4;
-    const PLACES: u64 = 8;
-    let place = (ticket % PLACES) as f64 / PLACES as f64;
-    let order = (f64::from(rank.min(MAX_RANK)) + place) / f64::from(MAX_RANK + 1);
-    wait.mul_f64(1.0 + RETURN_SPREAD * order)
-}
-
 /// Updates the estimates of the route's service time and of the backend server's relative service
 /// time from a response.
 fn record_response(
--- a/crates/steering/src/gateway/lookup_balancer.rs
+++ b/crates/steering/src/gateway/lookup_balancer.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, time};
 
-use super::{members, target_shares};
+use super::{messages, target_shares};
 use crate::model;
 
 /// Share of `max_shift` that is used; the rest covers callers that follow earlier changes with
@@ -41,7 +41,7 @@
     pub capacity:
         collections::BTreeMap<model::ServiceId, collections::BTreeMap<model::DataCentreId, f64>>,
     /// Demand reported by the hosts.
-    pub loads: Vec<members::Load>,
+    pub loads: Vec<messages::Load>,
     /// Region of each data centre.
     pub regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
 }
@@ -142,7 +142,7 @@
     /// that the start of a host moves no callers.
     pub fn adopt_shares(
         &mut self,
-        received: &[members::LookupShares],
+        received: &[messages::LookupShares],
         regions: &collections::BTreeMap<model::DataCentreId, model::RegionId>,
         now: model::Time,
     ) {
@@ -151,7 +151,7 @@
                 .get(name)
                 .is_none_or(|state| state.in_use_since.is_none())
         };
-        let adopted: Vec<&members::LookupShares> = received
+        let adopted: Vec<&messages::LookupShares> = received
             .iter()
             .filter(|entry| is_not_in_use(&self.names, &entry.name))
             .collect();
@@ -181,7 +181,7 @@
     }
 
     /// Shares of all names that have settled, to be sent to other hosts.
-    pub fn settled_shares(&self, now: model::Time) -> Vec<members::LookupShares> {
+    pub fn settled_shares(&self, now: model::Time) -> Vec<messages::LookupShares> {
         let has_settled = |state: &NameState| {
             state
                 .in_use_since
@@ -191,7 +191,7 @@
             .iter()
             .filter(|(_, state)| has_settled(state))
             .flat_map(|(name, state)| state.shares.iter().map(move |(r, s)| (name, r, s)))
-            .map(|(name, region, shares)| members::LookupShares {
+            .map(|(name, region, shares)| messages::LookupShares {
                 name: name.clone(),
                 region: region.clone(),
                 shares: to_thousandths(shares),
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -7,10 +7,9 @@
 
 use std::{collections, net, time};
 
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
 
-use super::{crash_book, send_shares, signal_book, store_readers, store_revision};
+use super::{messages, send_shares, store_readers};
 use crate::model;
 
 /// Interval between heartbeats within a data centre.
@@ -46,128 +45,6 @@
 /// Time without a summary from a data centre after which summaries go to another of its hosts.
 const RECIPIENT_TIMEOUT: time::Duration = time::Duration::from_millis(1500);
 
-/// A host of the deployment.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Member {
-    /// Name.
-    pub host: model::HostId,
-    /// Data centre that it runs in.
-    pub data_centre: model::DataCentreId,
-    /// Address for requests of callers.
-    pub callers: net::SocketAddr,
-    /// Address for messages of other hosts.
-    pub peers: net::SocketAddr,
-}
-
-/// State of a host, sent regularly to the other hosts of its data centre.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Heartbeat {
-    /// The sender.
-    pub member: Member,
-    /// Whether it accepts requests; false while it shuts down.
-    pub is_ready: bool,
-    /// Number of requests that it has in progress at each backend server, by the hash of the
-    /// server's name.
-    pub in_flight: Vec<(u64, u32)>,
-    /// Demand that it receives.
-    pub loads: Vec<Load>,
-    /// Known address blocks of callers, with the data centre nearest to each.
-    pub blocks: Vec<(net::IpAddr, model::DataCentreId)>,
-    /// Shares used by its look-ups, of names whose shares have been in use for the settling time.
-    pub shares: Vec<LookupShares>,
-    /// How far the store has come, as far as the sender knows.
-    pub store: store_revision::StoreProgress,
-    /// Version of the configuration in force.
-    pub version: Option<model::Version>,
-    /// Limits that backend servers have named.
-    pub limits: Vec<signal_book::SignalNews<f64>>,
-    /// Backend servers that have said that they leave.
-    pub leaving: Vec<signal_book::SignalNews<()>>,
-    /// Requests that were in progress at backend servers that crashed.
-    pub crashes: Vec<crash_book::CrashReport>,
-    /// Some other live hosts of its data centre, in turn.
-    pub contacts: Vec<Member>,
-}
-
-/// Demand for one service from the callers of one data centre, for routes that are restricted to
-/// the same regions.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Load {
-    /// Service.
-    pub service: model::ServiceId,
-    /// Data centre nearest to the callers.
-    pub data_centre: model::DataCentreId,
-    /// Regions that may serve the requests; empty where all may.
-    pub regions: Vec<model::RegionId>,
-    /// Number of slots that the requests occupy if all objects are cached.
-    pub slots: f64,
-}
-
-/// Share of the callers of a region that look-ups of one name direct to each data centre, in
-/// thousandths.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LookupShares {
-    /// Name that callers look up.
-    pub name: String,
-    /// Region of the callers.
-    pub region: model::RegionId,
-    /// Non-zero share of each data centre.
-    pub shares: Vec<(model::DataCentreId, u16)>,
-}
-
-/// Aggregated state of the hosts of a data centre, sent to other data centres.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Summary {
-    /// Data centre that the summary describes.
-    pub data_centre: model::DataCentreId,
-    /// Its live hosts that accept requests.
-    pub members: Vec<Member>,
-    /// Demand that they receive.
-    pub loads: Vec<Load>,
-    /// Address blocks of callers known to the sender, with the data centre nearest to each.
-    pub blocks: Vec<(net::IpAddr, model::DataCentreId)>,
-    /// Shares used by its look-ups, of names whose shares have been in use for the settling time.
-    pub shares: Vec<LookupShares>,
-    /// How far the store has come, as far as the sender knows.
-    pub store: store_revision::StoreProgress,
-    /// Version of the configuration in force.
-    pub version: Option<model::Version>,
-    /// Limits that backend servers have named.
-    pub limits: Vec<signal_book::SignalNews<f64>>,
-    /// Backend servers that have said that they leave.
-    pub leaving: Vec<signal_book::SignalNews<()>>,
-    /// Requests that were in progress at backend servers that crashed.
-    pub crashes: Vec<crash_book::CrashReport>,
-}
-
-/// A message between hosts.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Message {
-    /// Heartbeat of a host of the same data centre.
-    #[serde(rename = "Beat")]
-    Heartbeat(Heartbeat),
-    /// Summary of another data centre.
-    Summary {
-        /// The summary.
-        summary: Summary,
-        /// Whether the receiver forwards it to the other hosts of its data centre.
-        relay: bool,
-    },
-    /// A host that has just started and asks for the hosts of its data centre.
-    Introduction(Member),
-    /// Hosts of the receiver's data centre, in response to an introduction.
-    Contacts(Vec<Member>),
-}
-
-/// A message and the hosts that it goes to.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Outgoing {
-    /// Addresses of the receivers.
-    pub to: Vec<net::SocketAddr>,
-    /// The message.
-    pub message: Message,
-}
-
 #[derive(Clone, Debug)]
 struct Received<T> {
     value: T,
@@ -177,7 +54,7 @@
 /// The hosts that a host knows, and the newest messages received from them.
 #[derive(Debug)]
 pub struct Members {
-    own: Member,
+    own: messages::Member,
     /// Addresses of hosts in the settings; these hosts may be down or replaced.
     seeds: Vec<net::SocketAddr>,
     last_introduction: Option<model::Time>,
@@ -185,9 +62,9 @@
     is_introduced: bool,
     /// Live host that was named last in a heartbeat.
     last_contact: Option<model::HostId>,
-    known: collections::BTreeMap<model::HostId, Member>,
-    heartbeats: collections::BTreeMap<model::HostId, Received<Heartbeat>>,
-    summaries: collections::BTreeMap<model::DataCentreId, Received<Summary>>,
+    known: collections::BTreeMap<model::HostId, messages::Member>,
+    heartbeats: collections::BTreeMap<model::HostId, Received<messages::Heartbeat>>,
+    summaries: collections::BTreeMap<model::DataCentreId, Received<messages::Summary>>,
     /// Host of each other data centre that summaries are sent to, and the time of its selection.
     recipients: collections::BTreeMap<model::DataCentreId, Received<model::HostId>>,
     /// Live host of the own data centre that got the last heartbeat.
@@ -198,7 +75,7 @@
 
 impl Members {
     /// Creates a membership that contains only the own host.
-    pub fn new(own: Member) -> Members {
+    pub fn new(own: messages::Member) -> Members {
         let known = [(own.host.clone(), own.clone())].into();
         Members {
             own,
@@ -222,32 +99,38 @@
     }
 
     /// Returns the own host.
-    pub fn own(&self) -> &Member {
+    pub fn own(&self) -> &messages::Member {
         &self.own
     }
 
     /// Adds or updates a host.
-    pub fn upsert(&mut self, member: Member) {
+    pub fn upsert(&mut self, member: messages::Member) {
         if member.host != self.own.host {
             self.known.insert(member.host.clone(), member);
         }
     }
 
     /// Adds a host that another one has named; what a host says of itself goes before it.
-    fn learn(&mut self, member: Member) {
+    fn learn(&mut self, member: messages::Member) {
         self.known.entry(member.host.clone()).or_insert(member);
     }
 
     /// Handles a message; returns the message to forward, if any.
-    pub fn receive(&mut self, message: Message, now: model::Time) -> Option<Outgoing> {
+    pub fn receive(
+        &mut self,
+        message: messages::Message,
+        now: model::Time,
+    ) -> Option<messages::Outgoing> {
         match message {
-            Message::Heartbeat(heartbeat) => {
+            messages::Message::Heartbeat(heartbeat) => {
                 self.handle_heartbeat(heartbeat, now);
                 None
             }
-            Message::Summary { summary, relay } => self.handle_summary(summary, relay, now),
-            Message::Introduction(member) => self.handle_introduction(member),
-            Message::Contacts(members) => {
+            messages::Message::Summary { summary, relay } => {
+                self.handle_summary(summary, relay, now)
+            }
+            messages::Message::Introduction(member) => self.handle_introduction(member),
+            messages::Message::Contacts(members) => {
                 self.is_introduced = true;
                 members.into_iter().for_each(|member| self.learn(member));
                 None
@@ -255,7 +138,7 @@
         }
     }
 
-    fn handle_heartbeat(&mut self, heartbeat: Heartbeat, now: model::Time) {
+    fn handle_heartbeat(&mut self, heartbeat: messages::Heartbeat, now: model::Time) {
         if heartbeat.member.host == self.own.host
             || heartbeat.member.data_centre != self.own.data_centre
         {
@@ -275,10 +158,10 @@
 
     fn handle_summary(
         &mut self,
-        summary: Summary,
+        summary: messages::Summary,
         relay: bool,
         now: model::Time,
-    ) -> Option<Outgoing> {
+    ) -> Option<messages::Outgoing> {
         if summary.data_centre == self.own.data_centre {
             return None;
         }
@@ -287,7 +170,7 @@
             .iter()
             .cloned()
             .for_each(|member| self.upsert(member));
-        let relayed = Message::Summary {
+        let relayed = messages::Message::Summary {
             summary: summary.clone(),
             relay: false,
         };
@@ -298,13 +181,13 @@
                 at: now,
             },
         );
-        relay.then(|| Outgoing {
+        relay.then(|| messages::Outgoing {
             to: self.local_peers().map(|member| member.peers).collect(),
             message: relayed,
         })
     }
 
-    fn handle_introduction(&mut self, member: Member) -> Option<Outgoing> {
+    fn handle_introduction(&mut self, member: messages::Member) -> Option<messages::Outgoing> {
         if member.host == self.own.host {
             return None;
         }
@@ -313,9 +196,9 @@
             .known
             .values()
             .filter(|known| known.data_centre == member.data_centre && known.host != member.host);
-        Some(Outgoing {
+        Some(messages::Outgoing {
             to: vec![member.peers],
-            message: Message::Contacts(contacts.cloned().collect()),
+            message: messages::Message::Contacts(contacts.cloned().collect()),
         })
     }
 
@@ -325,7 +208,7 @@
         &mut self,
         started: model::Time,
         now: model::Time,
-    ) -> Option<Outgoing> {
+    ) -> Option<messages::Outgoing> {
         let is_alone =
             self.live_heartbeats(now).next().is_none() && self.live_summaries(now).next().is_none();
         let is_due = self
@@ -336,9 +219,9 @@
         }
         self.last_introduction = Some(now);
         let own = self.own.peers;
-        Some(Outgoing {
+        Some(messages::Outgoing {
             to: self.seeds.iter().copied().filter(|s| *s != own).collect(),
-            message: Message::Introduction(self.own.clone()),
+            message: messages::Message::Introduction(self.own.clone()),
         })
     }
 
@@ -350,15 +233,16 @@
     }
 
     /// Live hosts of the own data centre to name in the next heartbeat, in turn.
-    pub fn contacts_to_send(&mut self, now: model::Time) -> Vec<Member> {
-        let live: Vec<&Member> = self
+    pub fn contacts_to_send(&mut self, now: model::Time) -> Vec<messages::Member> {
+        let live: Vec<&messages::Member> = self
             .live_heartbeats(now)
             .map(|heartbeat| &heartbeat.member)
             .collect();
-        let contacts: Vec<Member> = next_in_turn(&live, &self.last_contact, CONTACTS_PER_HEARTBEAT)
-            .into_iter()
-            .cloned()
-            .collect();
+        let contacts: Vec<messages::Member> =
+            next_in_turn(&live, &self.last_contact, CONTACTS_PER_HEARTBEAT)
+                .into_iter()
+                .cloned()
+                .collect();
         self.last_contact = contacts.last().map(|member| member.host.clone());
         contacts
     }
@@ -378,7 +262,7 @@
     /// Addresses of the hosts that this one reads the store from, preferred first; none if it
     /// reads the store itself.
     pub fn store_sources(&self, now: model::Time) -> Vec<net::SocketAddr> {
-        let live: Vec<&Member> = self
+        let live: Vec<&messages::Member> = self
             .live_heartbeats(now)
             .map(|heartbeat| &heartbeat.member)
             .collect();
@@ -397,7 +281,7 @@
             .live_heartbeats(now)
             .map(|heartbeat| &heartbeat.member.host)
             .collect();
-        let (live, silent): (Vec<&Member>, Vec<&Member>) = self
+        let (live, silent): (Vec<&messages::Member>, Vec<&messages::Member>) = self
             .local_peers()
             .partition(|member| live.contains(&member.host));
         let silent_count = MAX_HEARTBEATS_PER_INTERVAL
@@ -411,7 +295,7 @@
         let silent = next_in_turn(&silent, &self.last_silent_recipient, silent_count);
         let recipients = live.iter().chain(&silent).map(|member| member.peers);
         let recipients = recipients.collect();
-        let host = |member: &&Member| member.host.clone();
+        let host = |member: &&messages::Member| member.host.clone();
         let (last_live, last_silent) = (live.last().map(host), silent.last().map(host));
         self.last_live_recipient = last_live;
         self.last_silent_recipient = last_silent;
@@ -420,14 +304,18 @@
 
     /// Returns the summary to send to other data centres; `None` unless this host has the smallest
     /// name of the live hosts in its data centre.
-    pub fn summary_to_send(&mut self, heartbeat: &Heartbeat, now: model::Time) -> Option<Outgoing> {
+    pub fn summary_to_send(
+        &mut self,
+        heartbeat: &messages::Heartbeat,
+        now: model::Time,
+    ) -> Option<messages::Outgoing> {
         let is_summary_sender = self
             .live_heartbeats(now)
             .all(|other| self.own.host < other.member.host);
         if !is_summary_sender {
             return None;
         }
-        let message = Message::Summary {
+        let message = messages::Message::Summary {
             summary: self.summary(heartbeat, now),
             relay: true,
         };
@@ -441,16 +329,16 @@
             .into_iter()
             .filter_map(|data_centre| self.recipient(&data_centre, now))
             .collect();
-        Some(Outgoing { to, message })
+        Some(messages::Outgoing { to, message })
     }
 
-    fn summary(&self, heartbeat: &Heartbeat, now: model::Time) -> Summary {
+    fn summary(&self, heartbeat: &messages::Heartbeat, now: model::Time) -> messages::Summary {
         let own = heartbeat.is_ready.then(|| self.own.clone());
         let ready = self
             .live_heartbeats(now)
             .filter(|heartbeat| heartbeat.is_ready);
         let all = self.live_heartbeats(now).chain([heartbeat]);
-        Summary {
+        messages::Summary {
             data_centre: self.own.data_centre.clone(),
             members: own
                 .into_iter()
@@ -470,7 +358,7 @@
     /// Returns the address in another data centre that summaries go to.  While none arrive from
     /// there, the recipient changes to the next host at intervals of [`SUMMARY_INTERVAL`].
     fn recipient(&mut self, data_centre: &str, now: model::Time) -> Option<net::SocketAddr> {
-        let mut hosts: Vec<&Member> = self
+        let mut hosts: Vec<&messages::Member> = self
             .known
             .values()
             .filter(|member| member.data_centre == data_centre)
@@ -478,7 +366,7 @@
         let latest = self.summaries.get(data_centre);
         let is_silent = latest.is_none_or(|received| now > received.at + RECIPIENT_TIMEOUT);
         if let Some(received) = latest.filter(|_| !is_silent) {
-            let is_live = |member: &&Member| received.value.members.contains(member);
+            let is_live = |member: &&messages::Member| received.value.members.contains(member);
             if hosts.iter().any(is_live) {
                 hosts.retain(is_live);
             }
@@ -507,7 +395,7 @@
     }
 
     /// Newest heartbeats of the other live hosts of the own data centre.
-    pub fn live_heartbeats(&self, now: model::Time) -> impl Iterator<Item = &Heartbeat> {
+    pub fn live_heartbeats(&self, now: model::Time) -> impl Iterator<Item = &messages::Heartbeat> {
         let timeout = self.heartbeat_timeout();
         self.heartbeats
             .values()
@@ -526,7 +414,7 @@
     }
 
     /// Newest summaries of the other data centres that have live hosts.
-    pub fn live_summaries(&self, now: model::Time) -> impl Iterator<Item = &Summary> {
+    pub fn live_summaries(&self, now: model::Time) -> impl Iterator<Item = &messages::Summary> {
         self.summaries
             .values()
             .filter(move |received| now <= received.at + SUMMARY_TIMEOUT)
@@ -539,7 +427,7 @@
         data_centre: &str,
         is_own_ready: bool,
         now: model::Time,
-    ) -> Vec<Member> {
+    ) -> Vec<messages::Member> {
         if data_centre != self.own.data_centre {
             return self
                 .live_summaries(now)
@@ -578,7 +466,7 @@
         self.known.len()
     }
 
-    fn local_peers(&self) -> impl Iterator<Item = &Member> {
+    fn local_peers(&self) -> impl Iterator<Item = &messages::Member> {
         self.known.values().filter(|member| {
             member.host != self.own.host && member.data_centre == self.own.data_centre
         })
@@ -587,10 +475,10 @@
 
 /// Up to `count` members in turn, starting after the host `last`; `members` are ordered by host.
 fn next_in_turn<'a>(
-    members: &[&'a Member],
+    members: &[&'a messages::Member],
     last: &Option<model::HostId>,
     count: usize,
-) -> Vec<&'a Member> {
+) -> Vec<&'a messages::Member> {
     let start = members.partition_point(|member| Some(&member.host) <= last.as_ref());
     let (before, after) = members.split_at(start);
     after.iter().chain(before).take(count).copied().collect()
@@ -601,7 +489,7 @@
 }
 
 /// Sums the loads that have the same service, data centre and regions.
-pub fn sum_loads<'a>(loads: impl Iterator<Item = &'a Load>) -> Vec<Load> {
+pub fn sum_loads<'a>(loads: impl Iterator<Item = &'a messages::Load>) -> Vec<messages::Load> {
     let mut sums: collections::BTreeMap<_, f64> = collections::BTreeMap::new();
     for load in loads {
         *sums
@@ -609,7 +497,7 @@
             .or_default() += load.slots;
     }
     sums.into_iter()
-        .map(|((service, data_centre, regions), slots)| Load {
+        .map(|((service, data_centre, regions), slots)| messages::Load {
             service: service.clone(),
             data_centre: data_centre.clone(),
             regions: regions.clone(),
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 mod fairness;
 mod lookup_balancer;
 mod members;
+mod messages;
 mod outcome;
 mod placement;
 mod policy;
@@ -32,10 +33,8 @@
 pub use dispatcher::{Decision, Dispatcher, RetryLimits, Ticket};
 pub use evacuations::Evacuations;
 pub use lookup_balancer::{CapacityAndDemand, Client, LookupBalancer};
-pub use members::{
-    HEARTBEAT_INTERVAL, Heartbeat, Load, LookupShares, Member, Members, Message, Outgoing,
-    SUMMARY_INTERVAL, Summary,
-};
+pub use members::{HEARTBEAT_INTERVAL, Members, SUMMARY_INTERVAL};
+pub use messages::{Heartbeat, Load, LookupShares, Member, Message, Outgoing, Summary};
 pub use outcome::{NextAction, Outcome, Reason};
 pub use policy::{ClientLimits, Policy, Route, Service, WeightedService};
 pub use remote_in_flight::RemoteInFlight;
