Show that an evacuation is missed when connections to the store go silent (EVAC)

Cause: a watch of the store on a silent connection is given up after 21.5 s, or when another host has seen a newer change. When the open connections of all hosts go silent, no host has seen one.

--- /dev/null
+++ b/review/standins/main.rs
@@ -0,0 +1,45 @@
+//! Stand-ins of the platform, of servers and of clients, and the cases that are played with them.
+//!
+//! `standins CASE FOLDER` plays a case from the repository's root and writes `record.txt` to the
+//! folder.  Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+
+mod client;
+mod evacuation;
+mod host;
+mod http;
+mod json;
+mod proxy;
+mod record;
+mod server;
+mod store;
+mod world;
+
+use std::{env, path, process};
+
+fn main() {
+    let args: Vec<String> = env::args().collect();
+    let [_, case, folder] = args.as_slice() else {
+        eprintln!("usage: standins CASE FOLDER");
+        process::exit(2);
+    };
+    let root = env::current_dir().expect("the current folder is known");
+    let has_trouble = env::var("TROUBLE").map_or(true, |value| value != "0");
+    let held = {
+        let zones = [("a1", "a"), ("a2", "a"), ("b1", "b")];
+        let machines = [("front-a1-1", "a1"), ("front-a1-2", "a1"), ("front-a2-1", "a2"), ("front-b1-1", "b1")];
+        let mut world = world::World::new(&root, &zones, &machines);
+        let held = match case.as_str() {
+            "evacuation" => evacuation::run(&mut world, has_trouble),
+            _ => None,
+        };
+        world.record.write(&path::Path::new(folder).join("record.txt"));
+        held
+    };
+    let code = match held {
+        Some(true) => 0,
+        Some(false) => 1,
+        None => 2,
+    };
+    println!("{case}, trouble {has_trouble}: exit code {code}");
+    process::exit(code);
+}
