Show that a server moved into an evacuated zone gets requests (EVAC)

Cause: a server that starts again under its id keeps whether its data centre is evacuated from its earlier incarnation, also where its entry names another one.

--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -2,18 +2,64 @@
 
 use std::{
     io,
-    net::{SocketAddr, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpStream},
+    os::fd::{FromRawFd, OwnedFd, RawFd},
     time::{Duration, Instant},
 };
 
 use crate::{host, http, json, record};
 
-/// Connect time-out of clients.
-const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+unsafe extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> RawFd;
+    fn bind(fd: RawFd, address: *const SockAddr, length: u32) -> i32;
+    fn connect(fd: RawFd, address: *const SockAddr, length: u32) -> i32;
+}
+
+/// `struct sockaddr_in` of Linux.
+#[repr(C)]
+struct SockAddr {
+    family: u16,
+    port: [u8; 2],
+    ip: [u8; 4],
+    zero: [u8; 8],
+}
+
+const AF_INET: i32 = 2;
+const SOCK_STREAM: i32 = 1;
+const SOCK_CLOEXEC: i32 = 0o2000000;
+
+impl SockAddr {
+    fn new(ip: Ipv4Addr, port: u16) -> SockAddr {
+        let (family, port) = (AF_INET as u16, port.to_be_bytes());
+        SockAddr { family, port, ip: ip.octets(), zero: [0; 8] }
+    }
+}
+
+/// Connects from an address of this machine: hosts tell clients apart by their addresses.
+pub fn connect_from(from: Ipv4Addr, to: SocketAddr) -> io::Result<TcpStream> {
+    let SocketAddr::V4(to) = to else {
+        return Err(io::ErrorKind::Unsupported.into());
+    };
+    let length = size_of::<SockAddr>() as u32;
+    // SAFETY: plain system calls with addresses that outlive them.
+    unsafe {
+        let fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        if fd < 0 {
+            return Err(io::Error::last_os_error());
+        }
+        let owned = OwnedFd::from_raw_fd(fd);
+        let (own, peer) = (SockAddr::new(from, 0), SockAddr::new(*to.ip(), to.port()));
+        if bind(fd, &own, length) != 0 || connect(fd, &peer, length) != 0 {
+            return Err(io::Error::last_os_error());
+        }
+        Ok(TcpStream::from(owned))
+    }
+}
 
 /// A client with at most one connection, which it keeps.
 pub struct Client {
     pub name: String,
+    pub address: Ipv4Addr,
     pub zone: String,
     pub region: String,
     pub host_name: String,
@@ -43,6 +89,7 @@
 impl Client {
     pub fn new(
         name: &str,
+        address: Ipv4Addr,
         (zone, region): (&str, &str),
         host_name: &str,
         directories: Vec<SocketAddr>,
@@ -50,6 +97,7 @@
     ) -> Client {
         Client {
             name: name.to_string(),
+            address,
             zone: zone.to_string(),
             region: region.to_string(),
             host_name: host_name.to_string(),
@@ -76,7 +124,7 @@
         let (name, region, zone) = (&self.host_name, &self.region, &self.zone);
         let target = format!("/resolve?name={name}&region={region}&zone={zone}");
         for directory in self.directories.iter().take(3) {
-            let Some(reply) = host::get(*directory, &target) else {
+            let Some(reply) = host::get_from(self.address, *directory, &target) else {
                 continue;
             };
             let body = reply.body_text();
@@ -107,7 +155,7 @@
         let start = self.sent as usize;
         for i in 0..self.addresses.len() {
             let address = self.addresses[(start + i) % self.addresses.len()];
-            if let Ok(stream) = TcpStream::connect_timeout(&address, CONNECT_TIMEOUT) {
+            if let Ok(stream) = connect_from(self.address, address) {
                 self.connection = Some((address, http::Connection::new(stream)));
                 return true;
             }
@@ -156,7 +204,7 @@
         limit: Duration,
     ) -> io::Result<(u16, bool, bool)> {
         let start = format!("{method} {path} HTTP/1.1");
-        let (cookie, ms) = (format!("X-Affinity-Key={}", self.sent % 30), limit.as_millis().to_string());
+        let (cookie, ms) = (format!("X-Affinity-Key={}", (u64::from(self.address.octets()[3]) + self.sent) % 30), limit.as_millis().to_string());
         let headers = [
             ("Host", self.host_name.as_str()),
             ("X-Attempt-Id", id),
--- a/review/standins/evacuation.rs
+++ b/review/standins/evacuation.rs
@@ -1,9 +1,9 @@
 //! All open connections between the hosts and the store go silent; then a zone is evacuated, and
 //! later its servers are switched off.
 
-use std::{collections::HashSet, sync::Arc, thread, time::Duration};
+use std::{sync::Arc, thread, time::Duration};
 
-use crate::{client, record, server, world};
+use crate::{client, moved, server, world};
 
 /// Bound of the rule EVAC, as in the settings.
 const EVACUATE_S: f64 = 5.0;
@@ -32,6 +32,7 @@
             zone: zone.to_string(),
             slots: 9,
             queue: 27,
+            warmup_s: 0.0,
             work: Arc::new(|_| Duration::from_millis(400)),
         });
     }
@@ -58,7 +59,7 @@
     let off_at = world.record.say("servers-off", "a1");
     world.sleep_until(off_at + 4.0);
     world.end_clients();
-    Some(judge(&world.record, bound, off_at))
+    Some(moved::judge(&world.record, bound, off_at))
 }
 
 fn turn(i: usize, client: &mut client::Client) {
@@ -69,39 +70,3 @@
     };
     thread::sleep(Duration::from_millis(60));
 }
-
-/// EVAC: a request reaches a server in the zone later than `evacuate_s` after its evacuation was
-/// confirmed.
-fn judge(record: &record::Record, bound: f64, off_at: f64) -> bool {
-    let late: Vec<record::Line> = record
-        .of("arrived")
-        .into_iter()
-        .filter(|line| line.detail.contains("zone a1 ") && line.at > bound && line.at < off_at)
-        .collect();
-    let cut: HashSet<String> = record.of("cut").into_iter().map(|line| line.id).collect();
-    let is_unsafe = |id: &str| {
-        let sent = record.lines();
-        sent.iter().any(|l| l.event == "sent" && l.id == id && l.detail.starts_with("POST"))
-    };
-    let lost: Vec<String> = late
-        .iter()
-        .map(|line| line.id.clone())
-        .filter(|id| cut.contains(id) && is_unsafe(id))
-        .collect();
-    let answered = record.of("answered");
-    let ends: Vec<String> = lost
-        .iter()
-        .map(|id| {
-            let end = answered.iter().find(|line| &line.id == id);
-            format!("{id}: {}", end.map_or("no answer", |line| line.detail.as_str()))
-        })
-        .collect();
-    let total = record.of("sent").len();
-    println!("requests sent: {total}");
-    println!("reached servers in the evacuated zone after the bound: {}", late.len());
-    if let (Some(first), Some(last)) = (late.first(), late.last()) {
-        println!("first {:.3} s, last {:.3} s after the bound", first.at - bound, last.at - bound);
-    }
-    println!("of these, unsafe ones cut off when the servers ended: {} ({})", ends.len(), ends.join(", "));
-    late.is_empty()
-}
--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -2,14 +2,14 @@
 
 use std::{
     fs,
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{Ipv4Addr, SocketAddr, TcpListener},
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     thread,
     time::{Duration, Instant},
 };
 
-use crate::http;
+use crate::{client, http};
 
 /// A machine of the deployment.
 #[derive(Clone)]
@@ -147,9 +147,13 @@
 
 /// Response to a GET on a connection of its own.
 pub fn get(address: SocketAddr, target: &str) -> Option<http::Message> {
-    let timeout = Duration::from_secs(1);
-    let stream = TcpStream::connect_timeout(&address, timeout).ok()?;
-    stream.set_read_timeout(Some(timeout)).ok()?;
+    get_from(Ipv4Addr::LOCALHOST, address, target)
+}
+
+/// The same, from an address of this machine.
+pub fn get_from(from: Ipv4Addr, address: SocketAddr, target: &str) -> Option<http::Message> {
+    let stream = client::connect_from(from, address).ok()?;
+    stream.set_read_timeout(Some(Duration::from_secs(1))).ok()?;
     let mut connection = http::Connection::new(stream);
     let start = format!("GET {target} HTTP/1.1");
     connection.write(&start, &[("Host", &address.to_string())], b"").ok()?;
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -8,6 +8,7 @@
 mod host;
 mod http;
 mod json;
+mod moved;
 mod proxy;
 mod record;
 mod server;
@@ -30,6 +31,7 @@
         let mut world = world::World::new(&root, &zones, &machines);
         let held = match case.as_str() {
             "evacuation" => evacuation::run(&mut world, has_trouble),
+            "moved" => moved::run(&mut world, has_trouble),
             _ => None,
         };
         world.record.write(&path::Path::new(folder).join("record.txt"));
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -8,7 +8,7 @@
         Arc, Condvar, Mutex,
     },
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 use crate::{http, json, record};
@@ -21,6 +21,8 @@
     pub zone: String,
     pub slots: usize,
     pub queue: usize,
+    /// Time for which it is slow after its start, as its entry says.
+    pub warmup_s: f64,
     /// Time that a request takes, by its path.
     pub work: Arc<dyn Fn(&str) -> Duration + Send + Sync>,
 }
@@ -33,10 +35,13 @@
 
 struct Shared {
     options: Options,
+    /// Milliseconds since the Unix epoch.
+    born: u128,
     record: record::Record,
     load: Mutex<Load>,
     freed: Condvar,
     is_stopped: AtomicBool,
+    is_leaving: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
 }
 
@@ -54,10 +59,12 @@
             address: listener.local_addr().expect("the server has an address"),
             shared: Arc::new(Shared {
                 options,
+                born: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis()),
                 record: record.clone(),
                 load: Mutex::default(),
                 freed: Condvar::new(),
                 is_stopped: AtomicBool::new(false),
+                is_leaving: AtomicBool::new(false),
                 streams: Mutex::default(),
             }),
         };
@@ -87,14 +94,21 @@
     pub fn entry(&self, state: &str) -> String {
         let options = &self.shared.options;
         format!(
-            r#"{{"service":{},"address":"{}","zone":{},"version":"v1","slots":{},"state":"{state}","warmup_left_s":0,"sequence":4,"born":1764950000000}}"#,
+            r#"{{"service":{},"address":"{}","zone":{},"version":"v1","slots":{},"state":"{state}","warmup_left_s":{},"sequence":1,"born":{}}}"#,
             json::quote(&options.service),
             self.address,
             json::quote(&options.zone),
-            options.slots
+            options.slots,
+            options.warmup_s,
+            self.shared.born
         )
     }
 
+    /// From now on all its answers say that it leaves; it serves on.
+    pub fn leave(&self) {
+        self.shared.is_leaving.store(true, Ordering::SeqCst);
+    }
+
     /// Ends the server: its connections close and its address refuses new ones.
     pub fn stop(&self) {
         self.shared.is_stopped.store(true, Ordering::SeqCst);
@@ -109,14 +123,20 @@
 impl Shared {
     fn serve(&self, mut connection: http::Connection) {
         while let Ok(Some(req)) = connection.read() {
-            let (status, headers, body) = self.respond(&req);
+            let (status, mut headers, body) = self.respond(&req);
             if self.is_stopped.load(Ordering::SeqCst) {
                 return;
             }
+            let is_leaving = self.is_leaving.load(Ordering::SeqCst);
+            if is_leaving {
+                headers.push(("Server-Leaving".to_string(), "1".to_string()));
+                headers.push(("Connection".to_string(), "close".to_string()));
+            }
             let start = format!("HTTP/1.1 {status} X");
             let headers: Vec<(&str, &str)> =
                 headers.iter().map(|(n, v)| (n.as_str(), v.as_str())).collect();
-            if connection.write(&start, &headers, body.as_bytes()).is_err() {
+            let written = connection.write(&start, &headers, body.as_bytes());
+            if written.is_err() || is_leaving {
                 return;
             }
         }
@@ -129,7 +149,8 @@
         let named = |name: &str, value: &str| (name.to_string(), value.to_string());
         let mut headers = vec![named("X-Instance-Id", own)];
         if req.target() == "/health" {
-            return (200, headers, String::new());
+            let is_leaving = self.is_leaving.load(Ordering::SeqCst);
+            return (if is_leaving { 503 } else { 200 }, headers, String::new());
         }
         headers.push(named("X-Attempt-Id", &id));
         if req.header("X-Target-Instance").is_some_and(|target| target != own) {
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    net::SocketAddr,
+    net::{Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     process,
     sync::{
@@ -41,6 +41,12 @@
     format!("127.{}", 16 + process::id() % 200)
 }
 
+/// Address of a client; spread, as hosts place clients by their addresses.
+fn client_address(number: usize) -> Ipv4Addr {
+    let [second, fourth] = [16 + process::id() % 200, 1 + number as u32 * 29 % 251];
+    Ipv4Addr::new(127, second as u8, 3 + number as u8, fourth as u8)
+}
+
 impl World {
     /// Starts store and proxies for machines with these names and zones; `zones` has the region of
     /// each zone.
@@ -135,17 +141,6 @@
         (stopped_at, killed_at, true)
     }
 
-    /// The machine that most requests of the last seconds were sent to.
-    pub fn busiest(&self) -> usize {
-        let since = self.record.now() - 3.0;
-        let sent = self.record.of("sent");
-        let requests = |i: &usize| {
-            let front = self.machines[*i].front.to_string();
-            sent.iter().filter(|l| l.at > since && l.detail.ends_with(&front)).count()
-        };
-        (0..self.machines.len()).max_by_key(requests).unwrap_or(0)
-    }
-
     /// Directories for clients of a zone, nearest first.
     pub fn directories(&self, zone: &str, region: &str) -> Vec<SocketAddr> {
         let mut machines: Vec<&host::Machine> = self.machines.iter().collect();
@@ -165,6 +160,7 @@
         for i in 0..count {
             let mut client = client::Client::new(
                 &format!("{zone}-{}", self.clients.len()),
+                client_address(self.clients.len()),
                 (zone, region),
                 HOST_NAME,
                 self.directories(zone, region),
