--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -11,6 +11,7 @@
 mod moved;
 mod proxy;
 mod record;
+mod reload;
 mod server;
 mod store;
 mod world;
@@ -32,6 +33,7 @@
         let held = match case.as_str() {
             "evacuation" => evacuation::run(&mut world, has_trouble),
             "moved" => moved::run(&mut world, has_trouble),
+            "reload" => reload::run(&mut world, has_trouble),
             _ => None,
         };
         world.record.write(&path::Path::new(folder).join("record.txt"));
