Show that a silent watch misses the removal of a server (DRAIN)

Cause: hosts tell each other the newest revision that they have seen, so that one with a silent watch notices it; a deletion counts with the revision of the object's last change and is not told.

--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -104,6 +104,10 @@
         Host { machine: machine.clone(), child }
     }
 
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process: TERM, HUP, STOP or CONT.
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod evacuation;
+mod gone;
 mod host;
 mod http;
 mod json;
@@ -32,6 +33,7 @@
         let mut world = world::World::new(&root, &zones, &machines);
         let held = match case.as_str() {
             "evacuation" => evacuation::run(&mut world, has_trouble),
+            "gone" => gone::run(&mut world, has_trouble),
             "moved" => moved::run(&mut world, has_trouble),
             "reload" => reload::run(&mut world, has_trouble),
             _ => None,
