--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -15,6 +15,7 @@
 mod reload;
 mod server;
 mod store;
+mod versions;
 mod world;
 
 use std::{env, path, process};
@@ -35,6 +36,7 @@
             "evacuation" => evacuation::run(&mut world, has_trouble),
             "gone" => gone::run(&mut world, has_trouble),
             "moved" => moved::run(&mut world, has_trouble),
+            "versions" => versions::run(&mut world, has_trouble),
             "reload" => reload::run(&mut world, has_trouble),
             _ => None,
         };
