--- a/review/standins/host.rs
+++ b/review/standins/host.rs
@@ -3,6 +3,7 @@
 use std::{
     fs,
     net::{Ipv4Addr, SocketAddr, TcpListener},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     thread,
@@ -82,6 +83,22 @@
     }
 }
 
+unsafe extern "C" {
+    fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, value: usize, ...) -> i32;
+}
+
+/// Option of `prctl`: the signal that a process gets when its parent ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: usize = 9;
+
+/// A signal that the platform sends.
+#[derive(Clone, Copy)]
+pub enum Signal {
+    Hup = 1,
+    Term = 15,
+}
+
 /// A process of the program; it is killed when dropped.
 pub struct Host {
     pub machine: Machine,
@@ -92,15 +109,22 @@
     /// Starts the program of the only role in the deploy file, from the repository's root.
     pub fn start(root: &Path, machine: &Machine, settings: &Path, folder: &Path) -> Host {
         let log = fs::File::create(folder.join(format!("{}.log", machine.name))).unwrap();
-        let child = Command::new(root.join("target/release/yuccatide-platformd"))
+        let mut command = Command::new(root.join("target/release/yuccatide-platformd"));
+        command
             .current_dir(root)
             .env_clear()
             .env("YUCCATIDE_NODE_FILE", settings)
             .stdin(Stdio::null())
             .stderr(log.try_clone().unwrap())
-            .stdout(log)
-            .spawn()
-            .expect("the program can be started");
+            .stdout(log);
+        // SAFETY: one system call between fork and exec, so that no process outlives this one.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command.spawn().expect("the program can be started");
         Host { machine: machine.clone(), child }
     }
 
@@ -108,11 +132,11 @@
         self.child.id()
     }
 
-    /// Sends a signal to the process: TERM, HUP, STOP or CONT.
-    pub fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args([&format!("-{name}"), &pid]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "the signal can be sent");
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: Signal) {
+        // SAFETY: a system call without pointers, to a child that was not waited for.
+        let sent = unsafe { kill(self.child.id() as i32, signal as i32) };
+        assert_eq!(sent, 0, "the signal can be sent");
     }
 
     pub fn kill(&mut self) {
--- a/review/standins/reload.rs
+++ b/review/standins/reload.rs
@@ -10,7 +10,7 @@
     time::Duration,
 };
 
-use crate::{client, record, server, world};
+use crate::{client, host, record, server, world};
 
 /// Grace time in the changed settings; it is 6 s before.
 const NEW_GRACE_S: f64 = 12.0;
@@ -67,7 +67,7 @@
         world.record.say("settings", format!("grace_s {NEW_GRACE_S}"));
         for i in 0..world.machines.len() {
             world.write_settings(i);
-            world.hosts[i].signal("HUP");
+            world.hosts[i].signal(host::Signal::Hup);
         }
     }
     let grace_s = world.deployment.grace_s;
--- a/review/standins/world.rs
+++ b/review/standins/world.rs
@@ -127,7 +127,7 @@
     /// Returns the time of the signal, that of the end, and whether it was killed.
     pub fn stop_host(&mut self, i: usize) -> (f64, f64, bool) {
         let stopped_at = self.record.say("sigterm", self.machines[i].name.clone());
-        self.hosts[i].signal("TERM");
+        self.hosts[i].signal(host::Signal::Term);
         let kill_at = stopped_at + self.deployment.grace_s;
         while self.record.now() < kill_at {
             if self.hosts[i].ended().is_some() {
