--- a/review/standins/client.rs
+++ b/review/standins/client.rs
@@ -74,6 +74,8 @@
     sent: u64,
     /// Retry-After of the last answer.
     pub retry_after: Option<Duration>,
+    /// Object that all its requests are about; they are about different ones without it.
+    pub object: Option<u64>,
 }
 
 /// How a request ended for its client.
@@ -109,6 +111,7 @@
             connection: None,
             sent: 0,
             retry_after: None,
+            object: None,
         }
     }
 
@@ -204,7 +207,8 @@
         limit: Duration,
     ) -> io::Result<(u16, bool, bool)> {
         let start = format!("{method} {path} HTTP/1.1");
-        let (cookie, ms) = (format!("X-Affinity-Key={}", (u64::from(self.address.octets()[3]) + self.sent) % 30), limit.as_millis().to_string());
+        let object = self.object.unwrap_or((u64::from(self.address.octets()[3]) + self.sent) % 30);
+        let (cookie, ms) = (format!("X-Affinity-Key={object}"), limit.as_millis().to_string());
         let headers = [
             ("Host", self.host_name.as_str()),
             ("X-Attempt-Id", id),
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -4,6 +4,7 @@
 //! folder.  Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod client;
+mod deadly;
 mod evacuation;
 mod gone;
 mod host;
@@ -33,6 +34,7 @@
         let machines = [("front-a1-1", "a1"), ("front-a1-2", "a1"), ("front-a2-1", "a2"), ("front-b1-1", "b1")];
         let mut world = world::World::new(&root, &zones, &machines);
         let held = match case.as_str() {
+            "deadly" => deadly::run(&mut world, has_trouble),
             "evacuation" => evacuation::run(&mut world, has_trouble),
             "gone" => gone::run(&mut world, has_trouble),
             "moved" => moved::run(&mut world, has_trouble),
--- a/review/standins/moved.rs
+++ b/review/standins/moved.rs
@@ -27,6 +27,7 @@
         slots: 9,
         queue: 27,
         warmup_s,
+        is_deadly: None,
         work: Arc::new(|_| Duration::from_millis(400)),
     }
 }
--- a/review/standins/reload.rs
+++ b/review/standins/reload.rs
@@ -49,6 +49,7 @@
             slots: 30,
             queue: 90,
             warmup_s: 0.0,
+            is_deadly: None,
             work: Arc::new(move |_| match count.fetch_add(1, Ordering::SeqCst) % LONG_EVERY {
                 0 => LONG_WORK,
                 _ => WORK,
--- a/review/standins/server.rs
+++ b/review/standins/server.rs
@@ -23,10 +23,15 @@
     pub queue: usize,
     /// Time for which it is slow after its start, as its entry says.
     pub warmup_s: f64,
+    /// Whether a request crashes the server.
+    pub is_deadly: Option<Arc<IsDeadly>>,
     /// Time that a request takes, by its path.
     pub work: Arc<dyn Fn(&str) -> Duration + Send + Sync>,
 }
 
+/// Whether a request crashes the server that begins to run it.
+pub type IsDeadly = dyn Fn(&http::Message) -> bool + Send + Sync;
+
 #[derive(Default)]
 struct Load {
     running: usize,
@@ -35,6 +40,7 @@
 
 struct Shared {
     options: Options,
+    address: SocketAddr,
     /// Milliseconds since the Unix epoch.
     born: u128,
     record: record::Record,
@@ -42,6 +48,7 @@
     freed: Condvar,
     is_stopped: AtomicBool,
     is_leaving: AtomicBool,
+    has_crashed: AtomicBool,
     streams: Mutex<Vec<TcpStream>>,
 }
 
@@ -55,16 +62,19 @@
 impl Server {
     pub fn start(ip: &str, options: Options, record: &record::Record) -> Server {
         let listener = TcpListener::bind((ip, 0)).expect("the server listens");
+        let address = listener.local_addr().expect("the server has an address");
         let server = Server {
-            address: listener.local_addr().expect("the server has an address"),
+            address,
             shared: Arc::new(Shared {
                 options,
+                address,
                 born: SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |t| t.as_millis()),
                 record: record.clone(),
                 load: Mutex::default(),
                 freed: Condvar::new(),
                 is_stopped: AtomicBool::new(false),
                 is_leaving: AtomicBool::new(false),
+                has_crashed: AtomicBool::new(false),
                 streams: Mutex::default(),
             }),
         };
@@ -111,16 +121,25 @@
 
     /// Ends the server: its connections close and its address refuses new ones.
     pub fn stop(&self) {
-        self.shared.is_stopped.store(true, Ordering::SeqCst);
+        self.shared.stop(self.address);
+    }
+
+    /// Whether the server has crashed since the last call.
+    pub fn take_crash(&self) -> bool {
+        self.shared.has_crashed.swap(false, Ordering::SeqCst)
+    }
+}
+
+impl Shared {
+    fn stop(&self, address: SocketAddr) {
+        self.is_stopped.store(true, Ordering::SeqCst);
         // The thread that accepts ends with the next connection.
-        let _ = TcpStream::connect(self.address);
-        for stream in self.shared.streams.lock().unwrap().drain(..) {
+        let _ = TcpStream::connect(address);
+        for stream in self.streams.lock().unwrap().drain(..) {
             let _ = stream.shutdown(Shutdown::Both);
         }
     }
-}
 
-impl Shared {
     fn serve(&self, mut connection: http::Connection) {
         while let Ok(Some(req)) = connection.read() {
             let (status, mut headers, body) = self.respond(&req);
@@ -170,6 +189,11 @@
             return (503, headers, String::new());
         }
         self.record.add("run", &id, detail.clone());
+        if self.options.is_deadly.as_ref().is_some_and(|is_deadly| is_deadly(req)) {
+            self.record.add("crash", &id, detail.clone());
+            self.has_crashed.store(true, Ordering::SeqCst);
+            self.stop(self.address);
+        }
         let work = (self.options.work)(req.target());
         let time = work.min(deadline.saturating_duration_since(Instant::now()));
         thread::sleep(time);
--- a/review/standins/store.rs
+++ b/review/standins/store.rs
@@ -97,7 +97,7 @@
         while let Ok(Some(req)) = connection.read() {
             let (status, body) = self.respond(&req);
             let start = format!("HTTP/1.1 {status} X");
-            let headers = [("Content-Type", "application/json")];
+            let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
             if connection.write(&start, &headers, body.as_bytes()).is_err() {
                 return;
             }
--- a/review/standins/versions.rs
+++ b/review/standins/versions.rs
@@ -33,6 +33,7 @@
             slots: 20,
             queue: 60,
             warmup_s: 0.0,
+            is_deadly: None,
             work: Arc::new(|_| Duration::from_millis(400)),
         });
     }
