--- a/review/other/moved/run.sh
+++ b/review/other/moved/run.sh
@@ -1,5 +1,13 @@
 #!/usr/bin/env bash
+# Writes record.txt beside this file: what was sent, answered and run.
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../../.." || exit 2
-[ -x target/release/yuccatide-platformd ] && [ -x target/review/standins ] || exit 2
-exec target/review/standins moved review/other/moved
+record=review/other/moved/record.txt
+echo "# seconds since the start, event, id, detail; TROUBLE=${TROUBLE:-1}" > "$record" || exit 2
+for program in target/release/yuccatide-platformd target/review/standins; do
+    if [ ! -x "$program" ]; then
+        echo "could not run: $program is not built" | tee -a "$record"
+        exit 2
+    fi
+done
+exec target/review/standins moved "$record"
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -1,7 +1,6 @@
 //! Stand-ins of the platform, of servers and of clients, and the cases that are played with them.
 //!
-//! `standins CASE FOLDER` plays a case from the repository's root and writes `record.txt` to the
-//! folder.  Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+//! `standins CASE RECORD` plays a case from the repository's root and appends its record to a file.  Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 
 mod client;
 mod deadly;
@@ -23,8 +22,8 @@
 
 fn main() {
     let args: Vec<String> = env::args().collect();
-    let [_, case, folder] = args.as_slice() else {
-        eprintln!("usage: standins CASE FOLDER");
+    let [_, case, record] = args.as_slice() else {
+        eprintln!("usage: standins CASE RECORD");
         process::exit(2);
     };
     let root = env::current_dir().expect("the current folder is known");
@@ -42,7 +41,7 @@
             "reload" => reload::run(&mut world, has_trouble),
             _ => None,
         };
-        world.record.write(&path::Path::new(folder).join("record.txt"));
+        world.record.write(path::Path::new(record));
         held
     });
     // What a stand-in can't do, such as listen, is no verdict.
--- a/review/standins/record.rs
+++ b/review/standins/record.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    io::Write,
+    io::{self, Write},
     path::Path,
     sync::{Arc, Mutex},
     time::Instant,
@@ -62,9 +62,10 @@
         lines.iter().filter(|line| line.event == event).cloned().collect()
     }
 
-    /// Writes all lines to a file.
+    /// Appends all lines to a file.
     pub fn write(&self, path: &Path) {
-        let mut file = fs::File::create(path).expect("the record can be written");
+        let file = fs::OpenOptions::new().create(true).append(true).open(path);
+        let mut file = io::BufWriter::new(file.expect("the record can be written"));
         for line in self.lines.lock().unwrap().iter() {
             writeln!(file, "{:8.3} {} {} {}", line.at, line.event, line.id, line.detail)
                 .expect("the record can be written");
