Show the age of the last answer for each kind of the store (CONFIG)

What callers saw: requests run by a service that only an older configuration allows. Logs and metrics could not tell a host that hears nothing from one that hears late: no line says when a kind was last answered for.

The gauge store_answer_age_seconds has the time since the last answer of each kind, and a read that brings something is logged with its source, the position reached and the silence before it.

--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -168,6 +168,10 @@
         let result = read
             .and_then(|read| read.check_era(revision, state))
             .map(|read| {
+                let silence = state.record_answer(kind, tokio::time::Instant::now());
+                if !read.is_empty() {
+                    log_read(kind, &read, is_followed, silence);
+                }
                 // A source whose watch hangs answers without changes, too.
                 if !is_followed || !read.is_empty() {
                     on_event(StoreEvent::Available(true));
@@ -233,6 +237,27 @@
     }
 }
 
+/// Logs what was read, with the time since the answer before it, in which this host knew nothing
+/// newer.
+fn log_read<T>(kind: &str, read: &Read<T>, is_followed: bool, silence: Option<time::Duration>) {
+    let source = match is_followed {
+        true => "host",
+        false => "store",
+    };
+    let silent_ms = silence.map(|silence| silence.as_millis() as u64);
+    let at = read.position();
+    match read {
+        Read::Listing(listing) => {
+            let objects = listing.objects.len();
+            log::info!(kind, source, era = at.era, revision = at.revision, objects, silent_ms; "objects listed");
+        }
+        Read::Changes(batch) => {
+            let changes = batch.changes.len();
+            log::info!(kind, source, era = at.era, revision = at.revision, changes, silent_ms; "changes read");
+        }
+    }
+}
+
 /// What was read of one kind.
 enum Read<T> {
     Listing(Listing<T>),
@@ -247,10 +272,7 @@
         since: Option<decisions::StoreRevision>,
         state: &store_state::StoreState,
     ) -> Result<Read<T>, StoreError> {
-        let era = match &self {
-            Read::Listing(listing) => listing.revision.era,
-            Read::Changes(batch) => batch.revision.era,
-        };
+        let era = self.position().era;
         if matches!(self, Read::Changes(_)) && since.is_some_and(|since| since.era != era) {
             return Err(StoreError::HistoryGone);
         }
@@ -260,6 +282,14 @@
         }
     }
 
+    /// Position of the store that it brings the reader to.
+    fn position(&self) -> decisions::StoreRevision {
+        match self {
+            Read::Listing(listing) => listing.revision,
+            Read::Changes(batch) => batch.revision,
+        }
+    }
+
     /// Whether it tells nothing new of the store.
     fn is_empty(&self) -> bool {
         matches!(self, Read::Changes(batch) if batch.changes.is_empty())
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -1,6 +1,6 @@
 //! Counters, histograms and gauges in the OpenMetrics text format.
 
-use std::{collections, fmt, sync, time};
+use std::{collections, fmt, sync, sync::atomic, time};
 
 use prometheus_client::{
     encoding::{self, EncodeLabelSet},
@@ -52,6 +52,13 @@
     result: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct KindLabels {
+    kind: String,
+}
+
+type FloatGauge = gauge::Gauge<f64, atomic::AtomicU64>;
+
 type Latency = family::Family<RouteLabels, histogram::Histogram, fn() -> histogram::Histogram>;
 
 /// Metrics of a gateway.
@@ -63,6 +70,7 @@
     refusals: family::Family<ReasonLabels, counter::Counter>,
     attempts: family::Family<AttemptLabels, counter::Counter>,
     store_calls: family::Family<StoreCallLabels, counter::Counter>,
+    store_answer_age: family::Family<KindLabels, FloatGauge>,
     lookups: counter::Counter,
     pub(super) config_version: gauge::Gauge,
     pub(super) waiting: gauge::Gauge,
@@ -94,6 +102,7 @@
             refusals: family::Family::default(),
             attempts: family::Family::default(),
             store_calls: family::Family::default(),
+            store_answer_age: family::Family::default(),
             lookups: counter::Counter::default(),
             config_version: gauge::Gauge::default(),
             waiting: gauge::Gauge::default(),
@@ -143,6 +152,11 @@
             "Calls to the store, by kind and result",
             self.store_calls.clone(),
         );
+        registry.register(
+            "store_answer_age_seconds",
+            "Time since the last answer to a call that reads a kind of object",
+            self.store_answer_age.clone(),
+        );
         registry.register("lookups", "Look-ups answered", self.lookups.clone());
         registry.register(
             "config_version",
@@ -279,6 +293,13 @@
         self.store_calls.get_or_create(&labels).inc();
     }
 
+    /// Sets the time since the last answer to a call that reads a kind.
+    pub(super) fn set_store_answer_age(&self, kind: String, age: time::Duration) {
+        self.store_answer_age
+            .get_or_create(&KindLabels { kind })
+            .set(age.as_secs_f64());
+    }
+
     /// Records a look-up.
     pub(super) fn record_lookup(&self) {
         self.lookups.inc();
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -118,6 +118,9 @@
     metrics
         .store_era
         .set(i64::try_from(store.era()).unwrap_or(i64::MAX));
+    for (kind, age) in store.answer_ages(tokio::time::Instant::now()) {
+        metrics.set_store_answer_age(kind, age);
+    }
     let servers = &state.dispatcher.servers;
     let usable = state.dispatcher.usable_count(now);
     let version = state.route_table.version().unwrap_or(0);
--- a/crates/node/src/gateway/store_state.rs
+++ b/crates/node/src/gateway/store_state.rs
@@ -1,6 +1,6 @@
 //! State of the platform's store, shared by the watches of all kinds of objects.
 
-use std::time;
+use std::{collections, sync as std_sync, time};
 
 use tokio::sync;
 use yuccatide_steering::gateway as decisions;
@@ -23,6 +23,8 @@
     progress: sync::watch::Sender<decisions::StoreProgress>,
     /// Delay after the next failed probe; the lock is held by the watch that probes.
     probe_backoff: sync::Mutex<time::Duration>,
+    /// When the last call that read a kind was answered, by the store or by another host.
+    answered: std_sync::Mutex<collections::BTreeMap<String, tokio::time::Instant>>,
 }
 
 /// Permission to call the store: `None` while the store is available; `Some` for the one watch that
@@ -35,6 +37,7 @@
             is_available: sync::watch::Sender::new(true),
             progress: sync::watch::Sender::new(decisions::StoreProgress::default()),
             probe_backoff: sync::Mutex::new(INITIAL_BACKOFF),
+            answered: std_sync::Mutex::default(),
         }
     }
 }
@@ -70,6 +73,35 @@
         self.progress.borrow().newest(kind)
     }
 
+    /// Records an answer to a call that reads a kind; returns the time since the one before.
+    pub(super) fn record_answer(
+        &self,
+        kind: &str,
+        now: tokio::time::Instant,
+    ) -> Option<time::Duration> {
+        let last = self.lock_answered().insert(kind.to_string(), now);
+        last.map(|last| now.saturating_duration_since(last))
+    }
+
+    /// Time since the last answer to a call that reads each kind.
+    pub(super) fn answer_ages(
+        &self,
+        now: tokio::time::Instant,
+    ) -> collections::BTreeMap<String, time::Duration> {
+        let answered = self.lock_answered();
+        let ages = answered.iter();
+        ages.map(|(kind, at)| (kind.clone(), now.saturating_duration_since(*at)))
+            .collect()
+    }
+
+    fn lock_answered(
+        &self,
+    ) -> std_sync::MutexGuard<'_, collections::BTreeMap<String, tokio::time::Instant>> {
+        self.answered
+            .lock()
+            .unwrap_or_else(std_sync::PoisonError::into_inner)
+    }
+
     /// Records an era that the store or another host names; returns whether it is newer.
     pub fn record_era(&self, era: decisions::StoreEra) -> bool {
         self.progress
