--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -83,6 +83,7 @@
     pub(super) server_crashes: counter::Counter,
     pub(super) blocked_requests: gauge::Gauge,
     pub(super) unreadable_signals: counter::Counter,
+    pub(super) evacuated_data_centres: gauge::Gauge,
     pub(super) store_answers: gauge::Gauge,
     pub(super) store_era: gauge::Gauge,
     pub(super) send_delay: histogram::Histogram,
@@ -117,6 +118,7 @@
             unreadable_signals: counter::Counter::default(),
             send_delay: histogram::Histogram::new(SEND_DELAY_BUCKETS_S),
             cold_attempts: counter::Counter::default(),
+            evacuated_data_centres: gauge::Gauge::default(),
             store_answers: gauge::Gauge::default(),
             store_era: gauge::Gauge::default(),
             omitted_lines: counter::Counter::default(),
@@ -220,6 +222,11 @@
             "Sendings to backend servers that are cold",
             self.cold_attempts.clone(),
         );
+        registry.register(
+            "evacuated_data_centres",
+            "Data centres that are evacuated",
+            self.evacuated_data_centres.clone(),
+        );
         registry.register(
             "store_answers",
             "Whether the store answers",
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -138,6 +138,9 @@
         .set(count(state.dispatcher.leaving().count()));
     let limited = state.dispatcher.limits().count();
     metrics.limited_servers.set(count(limited));
+    metrics
+        .evacuated_data_centres
+        .set(count(servers.evacuated().len()));
     let missing = servers.iter().filter(|(_, server)| server.is_missing());
     metrics.missing_servers.set(count(missing.count()));
     metrics
