Verify what hosts know of the store, and give up silent watches (CONFIG)

What callers saw: requests run by a service that only an older configuration allows, for up to 21 s after the confirmation.

Cause: a watch without an answer was taken for a store without changes. It was given up only when another host had seen a change; when the connections of all hosts go silent at once, no host has. Class: the absence of a message taken for the absence of a change.

One host, the first in an order that all can tell without agreement, ends its watches of each kind after 750 ms and gives one up 400 ms later. Hosts tell each other how long ago a kind was verified so; three others take over in turn when that is 1.5 s ago. The other hosts keep long watches, so calls don't grow with the hosts, and give one up 350 ms after they hear of a change that it hasn't brought; news go to other data centres at once. A follower notices a silent connection to its source by the position that the source names. Whoever gives a connection up uses a new one. Bytes of an answer count as a sign of life, and a host that verifies names the position of its list, as others may lack what changed before it.

A property test plays reads, messages and restarts: no host believes a change absent that was confirmed before its verification.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -185,6 +185,8 @@
                 last_hosts_update = time::Instant::now();
                 let hosts = state.members.live_hosts(now);
                 state.dispatcher.set_hosts(hosts);
+                self.store_state
+                    .set_verifier_rank(state.members.verifier_rank(now));
             }
             if last_sample.elapsed() >= demand::SAMPLE_INTERVAL {
                 last_sample = time::Instant::now();
@@ -301,6 +303,18 @@
         let introduction = state.members.introduction_to_send(self.started, now);
         let in_flight = state.dispatcher.in_flight_by_server();
         let contacts = state.members.contacts_to_send(now);
+        let (store, store_checks) = self.store_state.progress();
+        let news = self
+            .store_state
+            .take_news()
+            .then(|| decisions::Outgoing {
+                to: state.members.store_news_recipients(now),
+                message: decisions::Message::StoreNews {
+                    progress: store.clone(),
+                    checks: store_checks.clone(),
+                },
+            })
+            .filter(|news| !news.to.is_empty());
         let heartbeat = decisions::Heartbeat {
             member: self.settings.member.clone(),
             is_ready: state.route_table.version().is_some() && state.stops_at.is_none(),
@@ -316,7 +330,8 @@
             } else {
                 Vec::new()
             },
-            store: self.store_state.progress(),
+            store,
+            store_checks,
             version: state.route_table.version(),
             limits: state.dispatcher.limits().news(now),
             leaving: state.dispatcher.leaving_news(now),
@@ -334,6 +349,7 @@
             .into_iter()
             .chain(summary)
             .chain(introduction)
+            .chain(news)
             .collect()
     }
 
@@ -343,15 +359,22 @@
         let mut state = self.lock();
         match &message {
             decisions::Message::Heartbeat(h) => {
-                self.adopt_shared_state(&mut state, &h.blocks, &h.shares, &h.store, now);
+                let is_local = h.member.data_centre == self.own_data_centre;
+                self.adopt_store_news(&mut state, &h.store, &h.store_checks, is_local, now);
+                self.adopt_shared_state(&mut state, &h.blocks, &h.shares, now);
                 state.adopt_signals(&h.limits, &h.leaving, now);
                 state.adopt_crashes(&h.crashes, now);
             }
             decisions::Message::Summary { summary: s, .. } => {
-                self.adopt_shared_state(&mut state, &s.blocks, &s.shares, &s.store, now);
+                let checks = decisions::StoreChecks::default();
+                self.adopt_store_news(&mut state, &s.store, &checks, false, now);
+                self.adopt_shared_state(&mut state, &s.blocks, &s.shares, now);
                 state.adopt_signals(&s.limits, &s.leaving, now);
                 state.adopt_crashes(&s.crashes, now);
             }
+            decisions::Message::StoreNews { progress, checks } => {
+                self.adopt_store_news(&mut state, progress, checks, false, now);
+            }
             decisions::Message::Introduction(_) | decisions::Message::Contacts(_) => {}
         }
         if let decisions::Message::Heartbeat(heartbeat) = &message
@@ -372,12 +395,8 @@
         state: &mut state::State,
         blocks: &[(net::IpAddr, model::DataCentreId)],
         shares: &[decisions::LookupShares],
-        store: &decisions::StoreProgress,
         now: model::Time,
     ) {
-        if self.store_state.adopt(store) {
-            state.dispatcher.servers.record_revision_news(now);
-        }
         state
             .lookup_balancer
             .adopt_shares(shares, &self.settings.regions, now);
@@ -386,6 +405,30 @@
         }
     }
 
+    /// Takes over how far another host has seen the store come.
+    fn adopt_store_news(
+        &self,
+        state: &mut state::State,
+        progress: &decisions::StoreProgress,
+        checks: &decisions::StoreChecks,
+        is_local: bool,
+        now: model::Time,
+    ) {
+        if self.store_state.adopt(progress, checks, is_local) {
+            state.dispatcher.servers.record_revision_news(now);
+        }
+    }
+
+    /// Newest change of a kind that a host of the own data centre has read itself.
+    pub fn position_of(
+        &self,
+        peers: net::SocketAddr,
+        kind: &str,
+    ) -> Option<decisions::StoreRevision> {
+        let now = self.clock.now();
+        self.lock().members.position_of(peers, kind, now)
+    }
+
     /// Addresses of the hosts that this one reads the store from, preferred first; none if it
     /// reads the store itself.
     pub fn store_sources(&self) -> Vec<net::SocketAddr> {
--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -5,7 +5,19 @@
 use thiserror::Error;
 use yuccatide_steering::gateway as decisions;
 
-use super::{store_copy, store_state};
+use super::{activity_mark, store_copy, store_state};
+
+/// Longest time for which the store holds a watch open without changes.
+const MAX_WATCH_TIME: time::Duration = time::Duration::from_secs(20);
+
+/// Time for which the store holds the first watch after an interrupted one.
+const FIRST_WATCH_TIME: time::Duration = time::Duration::from_millis(50);
+
+/// Time beyond the end of a watch after which it counts as silent.
+const WATCH_SILENCE: time::Duration = time::Duration::from_millis(400);
+
+/// The same for the first watch after an interrupted one: the store may only be slow.
+const FIRST_WATCH_SILENCE: time::Duration = time::Duration::from_millis(700);
 
 /// Longest delay after a failed connection attempt; such an attempt puts no load on the store.
 const MAX_CONNECT_BACKOFF: time::Duration = time::Duration::from_millis(200);
@@ -20,6 +32,9 @@
     /// decoded.
     #[error("store unavailable: {0}")]
     Unavailable(String),
+    /// A call on an open connection got no response in time.
+    #[error("store silent: {0}")]
+    Silent(String),
     /// The call was interrupted before its response.
     #[error("store call interrupted: {0}")]
     Interrupted(String),
@@ -91,18 +106,33 @@
     Current,
 }
 
+/// How long a watch is waited for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct WatchLimits {
+    /// Time for which the store holds the watch open without changes.
+    pub wait: time::Duration,
+    /// Time beyond it after which the call counts as silent, and longest pause within the answer.
+    pub silence: time::Duration,
+    /// Whether the open connections may be silent, so that the call needs a new one.
+    pub needs_new_connection: bool,
+}
+
 /// Calls that read one kind of object.
 pub struct StoreReader<T> {
     /// Lists all objects.
     pub list: Box<dyn Fn(Freshness) -> StoreFuture<Listing<T>> + Send + Sync>,
     /// Waits for changes since a position.
-    pub watch: Box<dyn Fn(decisions::StoreRevision) -> StoreFuture<WatchBatch<T>> + Send + Sync>,
+    pub watch: Box<
+        dyn Fn(decisions::StoreRevision, WatchLimits) -> StoreFuture<WatchBatch<T>> + Send + Sync,
+    >,
     /// Lists all objects that another host has.
     pub follow_list: Box<dyn Fn() -> FollowFuture<Listing<T>> + Send + Sync>,
     /// Waits for changes since a position that another host has seen.
     pub follow: Box<dyn Fn(decisions::StoreRevision) -> FollowFuture<WatchBatch<T>> + Send + Sync>,
     /// What other hosts read from this one.
     pub copy: sync::Arc<store_copy::StoreCopy>,
+    /// Arrival of the answers to these calls.
+    pub activity: sync::Arc<activity_mark::ActivityMark>,
 }
 
 /// How one kind of object is listed and watched.
@@ -138,8 +168,9 @@
 ) {
     let mut freshness = options.initial_freshness;
     let mut revision: Option<decisions::StoreRevision> = None;
-    let mut listed_era: Option<decisions::StoreEra> = None;
+    let mut listed: Option<decisions::StoreRevision> = None;
     let mut was_interrupted = false;
+    let mut is_connection_suspect = false;
     let mut was_store_failed = false;
     loop {
         let permit = state.acquire_permit().await;
@@ -160,15 +191,23 @@
             (Followed::HistoryGone, _) => Err(StoreError::HistoryGone),
             (_, Some(since)) if since.era < state.era() => Err(StoreError::HistoryGone),
             (_, None) => (reader.list)(freshness).await.map(Read::Listing),
-            (_, Some(since)) => watch_until_stale(kind, state, (reader.watch)(since), since)
-                .await
-                .map(Read::Changes),
+            (_, Some(since)) => {
+                let limits = watch_limits(kind, state, was_interrupted, is_connection_suspect);
+                let changes = (reader.watch)(since, limits);
+                let watched = match was_interrupted {
+                    // It is short.
+                    true => changes.await,
+                    false => watch_until_stale(kind, state, changes, since, &reader.activity).await,
+                };
+                watched.map(Read::Changes)
+            }
         };
+        is_connection_suspect = false;
         let mut has_changes = false;
         let result = read
             .and_then(|read| read.check_era(revision, state))
             .map(|read| {
-                let silence = state.record_answer(kind, tokio::time::Instant::now());
+                let silence = state.record_answer(kind, read.newest());
                 if !read.is_empty() {
                     log_read(kind, &read, is_followed, silence);
                 }
@@ -178,10 +217,10 @@
                 }
                 match read {
                     Read::Listing(listing) => {
-                        let era = listing.revision.era;
-                        state.record_era(era);
-                        revision = Some(listing.revision);
-                        let is_restored = listed_era.replace(era).is_some_and(|last| last < era);
+                        let at = listing.revision;
+                        state.record_era(at.era);
+                        revision = Some(at);
+                        let is_restored = listed.replace(at).is_some_and(|last| last.era < at.era);
                         on_event(match is_restored {
                             true => StoreEvent::Restored(listing.objects),
                             false => StoreEvent::Listed(listing.objects),
@@ -191,6 +230,9 @@
                         if let Some(newest) = batch.newest {
                             state.record(kind, newest);
                         }
+                        if let Some(listed) = listed.filter(|_| !is_followed) {
+                            state.record_watch(kind, listed);
+                        }
                         revision = revision.max(Some(batch.revision));
                         has_changes = !batch.changes.is_empty();
                         batch
@@ -217,6 +259,11 @@
                 drop(permit);
                 tokio::time::sleep(store_state::INITIAL_BACKOFF).await;
             }
+            Err(StoreError::Silent(reason)) if revision.is_some() && !was_interrupted => {
+                was_interrupted = true;
+                is_connection_suspect = true;
+                log::info!(kind, reason:%; "store watch given up; trying a new connection");
+            }
             Err(e) => {
                 log::warn!(kind, error:% = e; "store call failed");
                 revision = None;
@@ -290,6 +337,14 @@
         }
     }
 
+    /// Newest change that it brings.
+    fn newest(&self) -> decisions::StoreRevision {
+        match self {
+            Read::Listing(listing) => listing.revision,
+            Read::Changes(batch) => batch.newest.unwrap_or_default(),
+        }
+    }
+
     /// Whether it tells nothing new of the store.
     fn is_empty(&self) -> bool {
         matches!(self, Read::Changes(batch) if batch.changes.is_empty())
@@ -319,20 +374,47 @@
     }
 }
 
-/// Waits for changes; fails if the watch does not deliver a change that other hosts have seen, or
-/// if the store has come back from an older copy.
+/// Limits of the next watch of the store itself.
+fn watch_limits(
+    kind: &str,
+    state: &store_state::StoreState,
+    was_interrupted: bool,
+    needs_new_connection: bool,
+) -> WatchLimits {
+    // After an interruption one shows at once that the store responds, and its era.
+    let (wait, silence) = match was_interrupted {
+        true => (FIRST_WATCH_TIME, FIRST_WATCH_SILENCE),
+        false => {
+            let wait = state.watch_time(kind).unwrap_or(MAX_WATCH_TIME);
+            (wait.max(FIRST_WATCH_TIME), WATCH_SILENCE)
+        }
+    };
+    WatchLimits {
+        wait,
+        silence,
+        needs_new_connection,
+    }
+}
+
+/// Waits for changes; fails if the watch does not deliver a change that other hosts have seen, if
+/// nobody has verified the kind for too long, or if the store has come back from an older copy.
 async fn watch_until_stale<T>(
     kind: &str,
     state: &store_state::StoreState,
     changes: StoreFuture<WatchBatch<T>>,
     since: decisions::StoreRevision,
+    activity: &activity_mark::ActivityMark,
 ) -> Result<WatchBatch<T>, StoreError> {
+    let timeout = store_state::STALE_WATCH_TIMEOUT;
     tokio::select! {
         batch = changes => batch,
         () = state.wait_until_restored(since.era) => Err(StoreError::HistoryGone),
-        () = state.wait_until_stale(kind, since, store_state::STALE_WATCH_TIMEOUT) => {
+        () = state.wait_until_stale(kind, since, timeout, activity) => {
             log::info!(kind, era = since.era, since = since.revision; "store watch is stale; other hosts have seen newer changes");
-            Err(StoreError::Interrupted("stale watch".to_string()))
+            Err(StoreError::Silent("stale watch".to_string()))
+        }
+        () = state.wait_until_overdue(kind) => {
+            Err(StoreError::Silent("no host has verified what is known".to_string()))
         }
     }
 }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 //! configuration and backend servers, and the protocol of look-ups.
 
 mod activity;
+mod activity_mark;
 mod attempt;
 mod body;
 mod connection_pool;
@@ -31,6 +32,7 @@
 mod store_state;
 mod update;
 
+pub use activity_mark::ActivityMark;
 pub use body::Body;
 pub use frontend::Frontend;
 pub use gateway::Gateway;
@@ -38,7 +40,7 @@
 pub use header_names::HeaderNames;
 pub use list_watch::{
     Change, Followed, Freshness, Listing, StoreError, StoreEvent, StoreReader, WatchBatch,
-    WatchOptions, list_and_watch,
+    WatchLimits, WatchOptions, list_and_watch,
 };
 pub use metrics::Metrics;
 pub use settings::Settings;
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -118,7 +118,7 @@
     metrics
         .store_era
         .set(i64::try_from(store.era()).unwrap_or(i64::MAX));
-    for (kind, age) in store.answer_ages(tokio::time::Instant::now()) {
+    for (kind, age) in store.answer_ages() {
         metrics.set_store_answer_age(kind, age);
     }
     let servers = &state.dispatcher.servers;
--- a/crates/node/src/gateway/store_copy.rs
+++ b/crates/node/src/gateway/store_copy.rs
@@ -56,6 +56,8 @@
     /// Revision up to which changes are no longer kept, in the era of `revision`.
     oldest: u64,
     revision: decisions::StoreRevision,
+    /// Revision of the newest change, in the era of `revision`.
+    newest: u64,
     /// Whether the last call was one to the store itself, and succeeded.
     is_current: bool,
 }
@@ -88,6 +90,7 @@
             state.changes.clear();
             state.oldest = revision.revision;
             state.revision = revision;
+            state.newest = revision.revision;
             state.is_current = is_from_store;
         });
     }
@@ -101,6 +104,7 @@
     ) {
         self.state.send_modify(|state| {
             for change in changes {
+                state.newest = state.newest.max(change.revision);
                 match change.is_deleted {
                     true => state.objects.remove(&change.name),
                     false => state
@@ -118,6 +122,20 @@
         });
     }
 
+    /// Records the newest change that any host has seen.  Once the copy has come that far, watches
+    /// from before it end, also if they have no change to return.
+    pub fn record_newest(&self, newest: decisions::StoreRevision) {
+        self.state.send_if_modified(|state| {
+            let is_covered = newest.era == state.revision.era
+                && newest <= state.revision
+                && newest.revision > state.newest;
+            if is_covered {
+                state.newest = newest.revision;
+            }
+            is_covered
+        });
+    }
+
     /// Whether the last call was one to the store itself, and succeeded.
     pub fn is_current(&self) -> bool {
         self.state.borrow().is_current
@@ -154,7 +172,7 @@
     ) -> Result<RawChanges, CopyError> {
         let mut state = self.state.subscribe();
         let has_update = |state: &State| {
-            !state.is_current || state.revision.era != since.era || state.revision > since
+            !state.is_current || state.revision.era != since.era || state.newest > since.revision
         };
         // After the wait the present state is the answer.
         let _ = tokio::time::timeout(wait, state.wait_for(has_update)).await;
--- a/crates/node/src/gateway/store_state.rs
+++ b/crates/node/src/gateway/store_state.rs
@@ -1,9 +1,11 @@
 //! State of the platform's store, shared by the watches of all kinds of objects.
 
-use std::{collections, sync as std_sync, time};
+use std::{collections, sync::atomic, time};
 
 use tokio::sync;
-use yuccatide_steering::gateway as decisions;
+use yuccatide_steering::{gateway as decisions, model};
+
+use super::activity_mark;
 
 /// Delay after the first failed call; it doubles with each further one.
 pub(super) const INITIAL_BACKOFF: time::Duration = time::Duration::from_millis(100);
@@ -13,18 +15,22 @@
 
 /// Time within which a pending watch must deliver a change that another host has reported. The
 /// store responds in one round trip, or in 250 ms while it is slow.
-pub(super) const STALE_WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(800);
+pub(super) const STALE_WATCH_TIMEOUT: time::Duration = time::Duration::from_millis(350);
+
+/// Time between checks whether the verification of a kind is overdue; the rank of a host may change.
+const OVERDUE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(250);
 
 /// State that the watches of a store share: its availability, and how far any host has seen it come.
 /// While the store is unavailable, one watch probes it and the others wait until a probe succeeds.
 #[derive(Debug)]
 pub struct StoreState {
     is_available: sync::watch::Sender<bool>,
-    progress: sync::watch::Sender<decisions::StoreProgress>,
+    view: sync::watch::Sender<decisions::StoreView>,
+    /// Place of this host in the order in which hosts verify what is known of the store.
+    verifier_rank: atomic::AtomicU32,
     /// Delay after the next failed probe; the lock is held by the watch that probes.
     probe_backoff: sync::Mutex<time::Duration>,
-    /// When the last call that read a kind was answered, by the store or by another host.
-    answered: std_sync::Mutex<collections::BTreeMap<String, tokio::time::Instant>>,
+    started: tokio::time::Instant,
 }
 
 /// Permission to call the store: `None` while the store is available; `Some` for the one watch that
@@ -35,9 +41,10 @@
     fn default() -> StoreState {
         StoreState {
             is_available: sync::watch::Sender::new(true),
-            progress: sync::watch::Sender::new(decisions::StoreProgress::default()),
+            view: sync::watch::Sender::new(decisions::StoreView::default()),
+            verifier_rank: atomic::AtomicU32::new(0),
             probe_backoff: sync::Mutex::new(INITIAL_BACKOFF),
-            answered: std_sync::Mutex::default(),
+            started: tokio::time::Instant::now(),
         }
     }
 }
@@ -58,86 +65,152 @@
         }
     }
 
-    /// How far the store has come, as far as this host knows.
-    pub fn progress(&self) -> decisions::StoreProgress {
-        self.progress.borrow().clone()
+    /// Present time of the view.
+    fn now(&self) -> model::Time {
+        self.started.elapsed()
+    }
+
+    /// How far the store has come, as far as this host knows, and how old that is.
+    pub fn progress(&self) -> (decisions::StoreProgress, decisions::StoreChecks) {
+        let now = self.now();
+        let view = self.view.borrow();
+        (view.progress().clone(), view.checks(now))
     }
 
     /// Newest era of the store that this host knows of; 0 if there is none.
     pub fn era(&self) -> decisions::StoreEra {
-        self.progress.borrow().era
+        self.view.borrow().progress().era
     }
 
     /// Position of the newest change of a kind that this host knows of.
     pub fn newest(&self, kind: &str) -> decisions::StoreRevision {
-        self.progress.borrow().newest(kind)
+        self.view.borrow().progress().newest(kind)
     }
 
-    /// Records an answer to a call that reads a kind; returns the time since the one before.
-    pub(super) fn record_answer(
-        &self,
-        kind: &str,
-        now: tokio::time::Instant,
-    ) -> Option<time::Duration> {
-        let last = self.lock_answered().insert(kind.to_string(), now);
-        last.map(|last| now.saturating_duration_since(last))
+    /// Time since the last answer to a call that reads each kind.
+    pub(super) fn answer_ages(&self) -> collections::BTreeMap<String, time::Duration> {
+        let now = self.now();
+        self.view.borrow().answer_ages(now)
     }
 
-    /// Time since the last answer to a call that reads each kind.
-    pub(super) fn answer_ages(
-        &self,
-        now: tokio::time::Instant,
-    ) -> collections::BTreeMap<String, time::Duration> {
-        let answered = self.lock_answered();
-        let ages = answered.iter();
-        ages.map(|(kind, at)| (kind.clone(), now.saturating_duration_since(*at)))
-            .collect()
+    /// Sets the place of this host in the order in which hosts verify.
+    pub fn set_verifier_rank(&self, rank: decisions::VerifierRank) {
+        self.verifier_rank.store(rank, atomic::Ordering::Relaxed);
     }
 
-    fn lock_answered(
-        &self,
-    ) -> std_sync::MutexGuard<'_, collections::BTreeMap<String, tokio::time::Instant>> {
-        self.answered
-            .lock()
-            .unwrap_or_else(std_sync::PoisonError::into_inner)
+    fn verifier_rank(&self) -> decisions::VerifierRank {
+        self.verifier_rank.load(atomic::Ordering::Relaxed)
     }
 
     /// Records an era that the store or another host names; returns whether it is newer.
     pub fn record_era(&self, era: decisions::StoreEra) -> bool {
-        self.progress
-            .send_if_modified(|progress| progress.record_era(era))
+        self.view.send_if_modified(|view| view.record_era(era))
     }
 
     /// Records a change that this host has seen; returns whether it is the newest.
     pub fn record(&self, kind: &str, at: decisions::StoreRevision) -> bool {
-        self.progress
-            .send_if_modified(|progress| progress.record(kind, at))
+        self.view.send_if_modified(|view| view.record(kind, at))
+    }
+
+    /// Records an answer to a call that reads a kind, and the newest change read; returns the time
+    /// since the answer before it.
+    pub(super) fn record_answer(
+        &self,
+        kind: &str,
+        read: decisions::StoreRevision,
+    ) -> Option<time::Duration> {
+        let now = self.now();
+        let mut silence = None;
+        self.view.send_if_modified(|view| {
+            silence = view.record_answer(kind, read, now);
+            false
+        });
+        silence
+    }
+
+    /// Records that a watch of the store itself was answered, by a host that is to verify the kind.
+    pub(super) fn record_watch(&self, kind: &str, listed: decisions::StoreRevision) {
+        let now = self.now();
+        let rank = self.verifier_rank();
+        self.view.send_if_modified(|view| {
+            let before = view.progress().newest(kind);
+            if view.is_verification_due(kind, rank, now) {
+                view.verify(kind, listed, now);
+            }
+            view.progress().newest(kind) != before
+        });
+    }
+
+    /// Takes over what another host tells; returns whether any of it is newer.
+    pub fn adopt(
+        &self,
+        progress: &decisions::StoreProgress,
+        checks: &decisions::StoreChecks,
+        is_local: bool,
+    ) -> bool {
+        let now = self.now();
+        self.view.send_if_modified(|view| {
+            let is_newer = view.adopt(progress, checks, now);
+            if is_newer && is_local {
+                view.mark_news();
+            }
+            is_newer
+        })
+    }
+
+    /// Whether there is something that other data centres have not been told; clears the mark.
+    pub(super) fn take_news(&self) -> bool {
+        let mut has_news = false;
+        self.view.send_if_modified(|view| {
+            has_news = view.take_news();
+            false
+        });
+        has_news
     }
 
-    /// Takes over what another host has seen; returns whether any of it is newer.
-    pub fn adopt(&self, other: &decisions::StoreProgress) -> bool {
-        self.progress
-            .send_if_modified(|progress| progress.adopt(other))
+    /// Time after which the next watch of a kind ends without changes; `None` for a long one.
+    pub(super) fn watch_time(&self, kind: &str) -> Option<time::Duration> {
+        let now = self.now();
+        let view = self.view.borrow();
+        view.watch_time(kind, self.verifier_rank(), now)
     }
 
-    /// Waits until another host has seen a change newer than `since` and `timeout` has passed. If a
-    /// watch has not delivered the change by then, its connection is considered dead.
+    /// Waits until another host has seen a change newer than `since` and no part of the answer has
+    /// arrived for `timeout`.  If a watch has not delivered the change by then, its connection is
+    /// considered dead.
     pub async fn wait_until_stale(
         &self,
         kind: &str,
         since: decisions::StoreRevision,
         timeout: time::Duration,
+        activity: &activity_mark::ActivityMark,
     ) {
-        let is_newer = |progress: &decisions::StoreProgress| progress.newest(kind) > since;
-        if self.progress.subscribe().wait_for(is_newer).await.is_ok() {
-            tokio::time::sleep(timeout).await;
+        let is_newer = |view: &decisions::StoreView| view.progress().newest(kind) > since;
+        if self.view.subscribe().wait_for(is_newer).await.is_ok() {
+            activity.wait_until_silent(timeout).await;
+        }
+    }
+
+    /// Waits until nobody has verified a kind for so long that this host has to do it itself.
+    pub(super) async fn wait_until_overdue(&self, kind: &str) {
+        loop {
+            let rank = self.verifier_rank();
+            let overdue_at = self.view.borrow().overdue_at(kind, rank);
+            let left = overdue_at.map(|at| at.saturating_sub(self.now()));
+            if left == Some(time::Duration::ZERO) {
+                return;
+            }
+            let interval = left.map_or(OVERDUE_CHECK_INTERVAL, |left| {
+                left.min(OVERDUE_CHECK_INTERVAL)
+            });
+            tokio::time::sleep(interval).await;
         }
     }
 
     /// Waits until the store is known to have come back from an older copy than `era` belongs to.
     pub async fn wait_until_restored(&self, era: decisions::StoreEra) {
-        let is_newer = |progress: &decisions::StoreProgress| progress.era > era;
-        if self.progress.subscribe().wait_for(is_newer).await.is_err() {
+        let is_newer = |view: &decisions::StoreView| view.progress().era > era;
+        if self.view.subscribe().wait_for(is_newer).await.is_err() {
             // The sender lives as long as `self`.
             std::future::pending().await
         }
--- a/crates/node/tests/gateway_list_watch.rs
+++ b/crates/node/tests/gateway_list_watch.rs
@@ -67,7 +67,7 @@
                     })
                 })
             }),
-            watch: Box::new(move |since| {
+            watch: Box::new(move |since, _| {
                 let store = watcher.clone();
                 Box::pin(async move {
                     store.call()?;
@@ -109,10 +109,11 @@
 fn unfollowed() -> StoreReader<u64> {
     StoreReader {
         list: Box::new(|_| Box::pin(std::future::pending())),
-        watch: Box::new(|_| Box::pin(std::future::pending())),
+        watch: Box::new(|_, _| Box::pin(std::future::pending())),
         follow_list: Box::new(|| Box::pin(async { Followed::NoSource })),
         follow: Box::new(|_| Box::pin(async { Followed::NoSource })),
         copy: sync::Arc::default(),
+        activity: sync::Arc::default(),
     }
 }
 
@@ -247,7 +248,7 @@
     // finds the store unavailable, so it may become the one that probes.
     let quiet = StoreReader {
         list: Store::default().shared().reader(Duration::ZERO).list,
-        watch: Box::new(move |since| {
+        watch: Box::new(move |since, _| {
             Box::pin(async move {
                 if since > at(1) {
                     std::future::pending::<()>().await;
@@ -274,7 +275,7 @@
                 }
             })
         }),
-        watch: Box::new(|_| Box::pin(std::future::pending())),
+        watch: Box::new(|_, _| Box::pin(std::future::pending())),
         ..unfollowed()
     };
     let is_back = sync::Arc::new(atomic::AtomicBool::new(false));
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -9,7 +9,7 @@
 
 use xxhash_rust::xxh3;
 
-use super::{messages, send_shares, store_readers};
+use super::{messages, send_shares, store_readers, store_revision, store_view};
 use crate::model;
 
 /// Interval between heartbeats within a data centre.
@@ -135,6 +135,7 @@
                 members.into_iter().for_each(|member| self.learn(member));
                 None
             }
+            messages::Message::StoreNews { .. } => None,
         }
     }
 
@@ -274,6 +275,48 @@
             .collect()
     }
 
+    /// Place of this host in the order in which hosts verify what is known of the store: first the
+    /// one with the smallest name of each data centre, by name, then the others of its own.
+    pub fn verifier_rank(&self, now: model::Time) -> store_view::VerifierRank {
+        let first_hosts = self
+            .live_summaries(now)
+            .filter_map(|summary| summary.members.iter().map(|member| &member.host).min());
+        let before_own = self
+            .live_heartbeats(now)
+            .filter(|other| other.member.host < self.own.host)
+            .count();
+        let rank = match before_own {
+            0 => first_hosts.filter(|host| **host < self.own.host).count(),
+            _ => first_hosts.count() + before_own,
+        };
+        store_view::VerifierRank::try_from(rank).unwrap_or(store_view::VerifierRank::MAX)
+    }
+
+    /// Addresses that news of the store go to: a host of each other data centre, which passes them
+    /// on in its heartbeats; none unless this host has the smallest name of its data centre.
+    pub fn store_news_recipients(&mut self, now: model::Time) -> Vec<net::SocketAddr> {
+        match self.is_summary_sender(now) {
+            true => self.other_data_centre_recipients(now),
+            false => Vec::new(),
+        }
+    }
+
+    /// Revision of the newest change of a kind that a host of the own data centre has read, with the
+    /// newest era that it knows.
+    pub fn position_of(
+        &self,
+        peers: net::SocketAddr,
+        kind: &str,
+        now: model::Time,
+    ) -> Option<store_revision::StoreRevision> {
+        let mut live = self.live_heartbeats(now);
+        let heartbeat = live.find(|heartbeat| heartbeat.member.peers == peers)?;
+        Some(store_revision::StoreRevision {
+            era: heartbeat.store.era,
+            revision: *heartbeat.store_checks.read.get(kind)?,
+        })
+    }
+
     /// Returns the addresses of the other hosts of the own data centre that get a heartbeat in this
     /// interval: the live ones in turn, and silent ones with the sends that are left, at least one.
     pub fn heartbeat_recipients(&mut self, now: model::Time) -> Vec<net::SocketAddr> {
@@ -309,27 +352,35 @@
         heartbeat: &messages::Heartbeat,
         now: model::Time,
     ) -> Option<messages::Outgoing> {
-        let is_summary_sender = self
-            .live_heartbeats(now)
-            .all(|other| self.own.host < other.member.host);
-        if !is_summary_sender {
+        if !self.is_summary_sender(now) {
             return None;
         }
         let message = messages::Message::Summary {
             summary: self.summary(heartbeat, now),
             relay: true,
         };
+        let to = self.other_data_centre_recipients(now);
+        Some(messages::Outgoing { to, message })
+    }
+
+    /// Whether this host has the smallest name of the live hosts in its data centre.
+    fn is_summary_sender(&self, now: model::Time) -> bool {
+        self.live_heartbeats(now)
+            .all(|other| self.own.host < other.member.host)
+    }
+
+    /// Address of one host in each other data centre.
+    fn other_data_centre_recipients(&mut self, now: model::Time) -> Vec<net::SocketAddr> {
         let data_centres: collections::BTreeSet<model::DataCentreId> = self
             .known
             .values()
             .map(|member| member.data_centre.clone())
             .filter(|data_centre| *data_centre != self.own.data_centre)
             .collect();
-        let to = data_centres
+        data_centres
             .into_iter()
             .filter_map(|data_centre| self.recipient(&data_centre, now))
-            .collect();
-        Some(messages::Outgoing { to, message })
+            .collect()
     }
 
     fn summary(&self, heartbeat: &messages::Heartbeat, now: model::Time) -> messages::Summary {
--- a/crates/steering/src/gateway/messages.rs
+++ b/crates/steering/src/gateway/messages.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{crash_book, signal_book, store_revision};
+use super::{crash_book, signal_book, store_revision, store_view};
 use crate::model;
 
 /// A host of the deployment.
@@ -38,6 +38,8 @@
     pub shares: Vec<LookupShares>,
     /// How far the store has come, as far as the sender knows.
     pub store: store_revision::StoreProgress,
+    /// How old that knowledge is, and what the sender has read.
+    pub store_checks: store_view::StoreChecks,
     /// Version of the configuration in force.
     pub version: Option<model::Version>,
     /// Limits that backend servers have named.
@@ -118,6 +120,13 @@
     Introduction(Member),
     /// Hosts of the receiver's data centre, in response to an introduction.
     Contacts(Vec<Member>),
+    /// What a host of another data centre has just learned of the store.
+    StoreNews {
+        /// How far the store has come.
+        progress: store_revision::StoreProgress,
+        /// How old that knowledge is.
+        checks: store_view::StoreChecks,
+    },
 }
 
 /// A message and the hosts that it goes to.
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod signals;
 mod store_readers;
 mod store_revision;
+mod store_view;
 mod target_shares;
 mod traffic_splitter;
 
@@ -49,4 +50,5 @@
 pub use signals::{ServerSignals, SignalChange};
 pub use store_readers::sources as store_sources;
 pub use store_revision::{StoreEra, StoreProgress, StoreRevision};
+pub use store_view::{StoreChecks, StoreView, VerifierRank};
 pub use traffic_splitter::TrafficSplitter;
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -20,3 +20,4 @@
 mod service_times;
 mod store_readers;
 mod store_revision;
+mod store_view;
