Silence the open connections of several hosts in the soak (CONFIG)

Open connections of hosts to the store, to backend servers or to both go silent now, new ones work: of one, of a data centre, of all but one, of all; twice in each time with faults, with a version that follows within 1.5 s.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -38,6 +38,42 @@
     OneWay,
 }
 
+/// Connections that go silent at once.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Links {
+    /// Of hosts to the store.
+    Store,
+    /// Of hosts to backend servers.
+    Servers,
+    /// Both.
+    Both,
+}
+
+/// Whose connections go silent: those of hosts with the store, or of all hosts with servers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum Scope {
+    /// One host or server.
+    One(usize),
+    /// Those of a data centre.
+    DataCentre(usize),
+    /// All but one.
+    AllBut(usize),
+    /// All.
+    All,
+}
+
+impl Scope {
+    /// Whether it holds a host or a server, by its number and that of its data centre.
+    pub fn contains(self, number: usize, data_centre: usize) -> bool {
+        match self {
+            Scope::One(one) => number == one,
+            Scope::DataCentre(of) => data_centre == of,
+            Scope::AllBut(one) => number != one,
+            Scope::All => true,
+        }
+    }
+}
+
 /// What is wrong with the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum StoreTrouble {
@@ -101,6 +137,8 @@
     StoreLink(usize, Trouble),
     /// The link of all hosts to a backend server.
     ServerLink(usize, Trouble),
+    /// Open connections go silent for good, without a reset; new ones work.
+    Silence(Links, Scope),
     /// The store.
     Store(StoreTrouble),
     /// A backend server crashes; another one starts in its place at the end.
@@ -168,6 +206,7 @@
     let mut events = faults(seed, size, length);
     events.extend(signals(seed, size, length));
     events.extend(returns_of_the_store(seed, length));
+    events.extend(silences(seed, size, length));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -218,6 +257,44 @@
     events
 }
 
+/// Silences of open connections, drawn by themselves for the same reason: two in each time with
+/// faults, with a change that follows at once.  The connections that nobody has given up stay silent
+/// in the time after it.
+fn silences(seed: u64, size: Size, length: Duration) -> Vec<Event> {
+    let mut rng = Pcg64::seed_from_u64(seed.rotate_left(16) ^ 2);
+    let mut events = Vec::new();
+    let mut start = START;
+    while start < length {
+        let late = FAULTY.as_millis() as u64;
+        for offset in [
+            rng.random_range(0..late),
+            rng.random_range(late - 1500..late),
+        ] {
+            let at = start + Duration::from_millis(offset);
+            let links = [Links::Store, Links::Store, Links::Servers, Links::Both];
+            let links = *links.choose(&mut rng).unwrap_or(&Links::Both);
+            let scope = match rng.random_range(0..6) {
+                0 => Scope::One(rng.random_range(0..size.hosts)),
+                1 => Scope::DataCentre(rng.random_range(0..size.data_centres)),
+                2 => Scope::AllBut(rng.random_range(0..size.hosts)),
+                _ => Scope::All,
+            };
+            events.push(Event {
+                at,
+                lasts: Duration::ZERO,
+                fault: Fault::Silence(links, scope),
+            });
+            events.push(Event {
+                at: at + Duration::from_millis(rng.random_range(0..1500)),
+                lasts: Duration::ZERO,
+                fault: Fault::Config,
+            });
+        }
+        start += FAULTY + CALM;
+    }
+    events
+}
+
 fn faults(seed: u64, size: Size, length: Duration) -> Vec<Event> {
     let mut rng = Pcg64::seed_from_u64(seed);
     let mut events = Vec::new();
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,6 +1,6 @@
 //! A loopback proxy that delays, resets, silences or cuts one way what it passes on.
 
-use std::{io, net, sync, time::Duration};
+use std::{io, net, sync, sync::atomic, time::Duration};
 
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -21,6 +21,8 @@
     /// Address that it listens on.
     pub address: net::SocketAddr,
     trouble: watch::Sender<Option<Trouble>>,
+    /// Number of times that the open connections went silent.
+    silences: sync::Arc<atomic::AtomicU32>,
     target: sync::Arc<sync::Mutex<net::SocketAddr>>,
     task: tokio::task::JoinHandle<()>,
 }
@@ -31,6 +33,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let trouble = watch::Sender::new(None);
+        let silences = sync::Arc::new(atomic::AtomicU32::new(0));
+        let heard = silences.clone();
         let target = sync::Arc::new(sync::Mutex::new(target));
         let (receiver, goal) = (trouble.subscribe(), target.clone());
         let task = tokio::spawn(async move {
@@ -40,7 +44,12 @@
                     accepted = listener.accept() => {
                         if let Ok((stream, _)) = accepted {
                             let target = *goal.lock().unwrap_or_else(sync::PoisonError::into_inner);
-                            connections.spawn(pass_on(stream, target, receiver.clone()));
+                            let link = Link {
+                                trouble: receiver.clone(),
+                                opened: heard.load(atomic::Ordering::Relaxed),
+                                silences: heard.clone(),
+                            };
+                            connections.spawn(pass_on(stream, target, link));
                         }
                     }
                     Some(_) = connections.join_next() => {}
@@ -50,6 +59,7 @@
         Ok(Proxy {
             address,
             trouble,
+            silences,
             target,
             task,
         })
@@ -60,6 +70,11 @@
         self.trouble.send_replace(trouble);
     }
 
+    /// Makes all open connections go silent for good, without a reset; new ones work.
+    pub fn silence_open(&self) {
+        self.silences.fetch_add(1, atomic::Ordering::Relaxed);
+    }
+
     /// Changes where new connections lead.
     pub fn lead_to(&self, target: net::SocketAddr) {
         *self
@@ -82,11 +97,23 @@
     Back,
 }
 
-async fn pass_on(
-    mut near: TcpStream,
-    target: net::SocketAddr,
-    mut trouble: watch::Receiver<Option<Trouble>>,
-) {
+/// What is wrong with the link of a connection.
+#[derive(Clone)]
+struct Link {
+    trouble: watch::Receiver<Option<Trouble>>,
+    silences: sync::Arc<atomic::AtomicU32>,
+    /// Number of silences before the connection was opened.
+    opened: u32,
+}
+
+impl Link {
+    fn is_silent(&self) -> bool {
+        self.silences.load(atomic::Ordering::Relaxed) != self.opened
+    }
+}
+
+async fn pass_on(mut near: TcpStream, target: net::SocketAddr, link: Link) {
+    let mut trouble = link.trouble.clone();
     let is_reset = *trouble.borrow() == Some(Trouble::Reset);
     let far = match is_reset {
         true => None,
@@ -100,13 +127,12 @@
     drop((near.set_nodelay(true), far.set_nodelay(true)));
     let (near_read, near_write) = near.split();
     let (far_read, far_write) = far.split();
-    let resets = trouble.clone();
     let is_reset = tokio::select! {
         _ = trouble.wait_for(|trouble| *trouble == Some(Trouble::Reset)) => true,
         _ = async {
             tokio::join!(
-                pump(near_read, far_write, Direction::There, resets.clone()),
-                pump(far_read, near_write, Direction::Back, resets.clone()),
+                pump(near_read, far_write, Direction::There, link.clone()),
+                pump(far_read, near_write, Direction::Back, link.clone()),
             )
         } => false,
     };
@@ -120,11 +146,15 @@
     mut from: tcp::ReadHalf<'_>,
     mut to: tcp::WriteHalf<'_>,
     direction: Direction,
-    mut trouble: watch::Receiver<Option<Trouble>>,
+    mut link: Link,
 ) {
     let mut buf = vec![0; CHUNK_BYTES];
     loop {
         let read = from.read(&mut buf).await.unwrap_or(0);
+        if link.is_silent() {
+            std::future::pending().await
+        }
+        let trouble = &mut link.trouble;
         let present = *trouble.borrow_and_update();
         match present {
             Some(Trouble::Silent) => std::future::pending().await,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -162,6 +162,7 @@
             Fault::Callers(host, trouble) => set(&self.hosts[host].callers, trouble),
             Fault::StoreLink(host, trouble) => set(&self.hosts[host].store, trouble),
             Fault::ServerLink(place, trouble) => set(&self.places[place].link, trouble),
+            Fault::Silence(links, scope) => self.silence(links, scope),
             Fault::Store(trouble) => self.disturb_store(trouble),
             Fault::Crash(place) => self.crash(place),
             Fault::Reuse(place) => self.reuse(place).await?,
@@ -234,7 +235,7 @@
                     .with(|seen| seen.signals.push((server, signal, span)));
             }
             Fault::Evacuate(data_centre) => self.take_back(data_centre),
-            Fault::Reload(_) | Fault::Config | Fault::Storm => {}
+            Fault::Reload(_) | Fault::Config | Fault::Storm | Fault::Silence(..) => {}
         }
         self.note(active);
         Ok(())
@@ -318,6 +319,24 @@
         true
     }
 
+    fn silence(&self, links: plan::Links, scope: plan::Scope) -> bool {
+        let stores = self.hosts.iter().map(|host| &host.store);
+        let servers = self.places.iter().map(|place| &place.link);
+        let of_scope = |(number, link)| {
+            let is_inside = scope.contains(number, number % REGIONS.len());
+            is_inside.then_some(link)
+        };
+        if links != plan::Links::Servers {
+            let links = stores.enumerate().filter_map(of_scope);
+            links.for_each(proxy::Proxy::silence_open);
+        }
+        if links != plan::Links::Store {
+            let links = servers.enumerate().filter_map(of_scope);
+            links.for_each(proxy::Proxy::silence_open);
+        }
+        true
+    }
+
     fn register(&mut self, place: usize) {
         let place = &mut self.places[place];
         place.is_registered = true;
