Leave a store alone that serves nobody (calls)

Cause: a follower whose sources can't reach the store could not tell whether it serves others. The age of the verification tells it now: without one in the last 1.5 s a follower waits for its sources, and calls the store once in 5 s.

--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -171,6 +171,7 @@
     let mut listed: Option<decisions::StoreRevision> = None;
     let mut was_interrupted = false;
     let mut is_connection_suspect = false;
+    let mut last_call = tokio::time::Instant::now();
     let mut was_store_failed = false;
     loop {
         let permit = state.acquire_permit().await;
@@ -186,8 +187,15 @@
             on_event(StoreEvent::Available(false));
         }
         was_store_failed = is_store_failed;
+        let may_call = !is_store_failed || state.may_serve(kind, last_call);
+        if !is_followed && may_call {
+            last_call = tokio::time::Instant::now();
+        }
         let read = match (followed, revision) {
             (Followed::Read(read), _) => Ok(read),
+            _ if !may_call => Err(StoreError::Unavailable(
+                "the hosts that are followed can't reach it".to_string(),
+            )),
             (Followed::HistoryGone, _) => Err(StoreError::HistoryGone),
             (_, Some(since)) if since.era < state.era() => Err(StoreError::HistoryGone),
             (_, None) => (reader.list)(freshness).await.map(Read::Listing),
--- a/crates/node/src/gateway/store_state.rs
+++ b/crates/node/src/gateway/store_state.rs
@@ -141,6 +141,13 @@
         });
     }
 
+    /// Whether a host whose sources can't reach the store may call it itself, `since` its last call.
+    pub(super) fn may_serve(&self, kind: &str, since: tokio::time::Instant) -> bool {
+        let now = self.now();
+        let last_call = since.saturating_duration_since(self.started);
+        self.view.borrow().may_serve(kind, last_call, now)
+    }
+
     /// Takes over what another host tells; returns whether any of it is newer.
     pub fn adopt(
         &self,
--- a/crates/steering/src/gateway/store_view.rs
+++ b/crates/steering/src/gateway/store_view.rs
@@ -185,6 +185,13 @@
         rank == 0 || age.is_none_or(|age| age >= TAKEOVER_AGE)
     }
 
+    /// Whether a host whose sources can't reach the store may call it itself: the store is known to
+    /// serve others, or nothing has been heard of it for long.
+    pub fn may_serve(&self, kind: &str, last_call: model::Time, now: model::Time) -> bool {
+        let age = self.age(kind, now);
+        age.is_none_or(|age| age < TAKEOVER_AGE) || now >= last_call + MAX_AGE
+    }
+
     /// When this host can rely on its last answer, and on what others tell, no longer and has to
     /// verify a kind itself; `None` if it does so regularly.
     pub fn overdue_at(&self, kind: &str, rank: VerifierRank) -> Option<model::Time> {
