--- a/crates/node/src/gateway/fingerprint.rs
+++ b/crates/node/src/gateway/fingerprint.rs
@@ -8,11 +8,15 @@
 
 use super::body;
 
-/// Fingerprint of a request: equal for requests with the same method, host, path, query, credentials
-/// and body, whatever their ids and the addresses that they come from.  Of a body that is not
+/// Fingerprint of a request: equal for requests with the same method, host, path, query, credentials,
+/// object and body, whatever their ids and the addresses that they come from.  Of a body that is not
 /// buffered only the start is known.  Callers choose what is hashed, so the hash is a cryptographic
 /// one.
-pub(super) fn fingerprint(head: &request::Parts, body: &[u8]) -> decisions::Fingerprint {
+pub(super) fn fingerprint(
+    head: &request::Parts,
+    object: Option<&str>,
+    body: &[u8],
+) -> decisions::Fingerprint {
     let bytes = |name| {
         let value: Option<&http::HeaderValue> = head.headers.get(name);
         value.map_or(&[][..], http::HeaderValue::as_bytes)
@@ -24,6 +28,7 @@
         bytes(header::HOST),
         path.as_bytes(),
         bytes(header::AUTHORIZATION),
+        object.unwrap_or_default().as_bytes(),
         &body[..body.len().min(body::MAX_BUFFERED_BYTES)],
     ];
     let mut hash = sha2::Sha256::new();
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -266,7 +266,8 @@
         body::ReadBody::Partial(bytes, rest) => (bytes, Some(rest)),
     };
     let is_body_buffered = rest.is_none();
-    let fingerprint = fingerprint::fingerprint(&client_req.head, &bytes);
+    let object = gateway.header_names.object_name(&client_req.head.headers);
+    let fingerprint = fingerprint::fingerprint(&client_req.head, object, &bytes);
     loop {
         if let Some((reason, retry_after)) = why_not_sent(gateway, &client_req, fingerprint) {
             return give_up(gateway, &client_req, progress, reason, retry_after);
