Follow the evacuations of where a server starts again (EVAC)

What callers saw: requests reached a server in an evacuated data centre later than 5 s after the confirmation, and unsafe ones were lost with it. It had started again under its id, in another data centre than before.

Cause: an updated entry kept the mark of the data centre that the server was in before; only a server that was not known got that of its own. The other way round a server that left an evacuated data centre got nothing. The mark is set with each entry now.

--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -140,9 +140,7 @@
     pub fn update(&mut self, entry: ServerEntry, now: model::Time) {
         self.missing_since = None;
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
-            let is_evacuated = self.is_evacuated;
             *self = Server::new(entry, now);
-            self.is_evacuated = is_evacuated;
             return;
         }
         if entry.warmup_left > time::Duration::ZERO {
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -104,6 +104,7 @@
             );
             let new = (entry.service.clone(), entry.data_centre.clone());
             server.update(entry, now);
+            server.is_evacuated = self.evacuated.contains(&new.1);
             if old != new {
                 self.leave_group(index, &old.0, &old.1);
                 self.join_group(index, new.0, new.1);
--- a/crates/steering/tests/gateway/server_set.rs
+++ b/crates/steering/tests/gateway/server_set.rs
@@ -124,6 +124,26 @@
     assert_eq!((cold(3900), cold(4100)), (2, 0));
 }
 
+/// Guards against requests to a server that starts again in an evacuated data centre, and against
+/// one that gets none since it was in such a data centre before (EVAC).
+#[test]
+fn a_server_that_starts_again_elsewhere_follows_the_evacuations_there() {
+    let mut servers = gateway::ServerSet::default();
+    servers.upsert(fixtures::entry("s1", "a1", 4), ms(0));
+    servers.upsert(fixtures::entry("s2", "a2", 4), ms(0));
+    servers.set_evacuated(["a2".to_string()].into(), ms(100));
+    let again = |id, data_centre| gateway::ServerEntry {
+        incarnation: 7,
+        ..fixtures::entry(id, data_centre, 4)
+    };
+    servers.upsert(again("s1", "a2"), ms(200));
+    assert_eq!(usable(&servers, 200), 0);
+    servers.upsert(again("s2", "a1"), ms(300));
+    let left = servers.iter().filter(|(_, s)| s.is_usable(ms(300)));
+    let left: Vec<&str> = left.map(|(_, s)| s.entry.id.as_str()).collect();
+    assert_eq!(left, ["s2"]);
+}
+
 #[test]
 fn restarted_server_is_cold_again() {
     let mut servers = gateway::ServerSet::default();
