Bound the bytes of the changes that a host keeps for others (LOST)

What callers saw: all processes killed for their memory after 216 versions of a configuration of a megabyte, with requests in progress.

Cause: a host keeps the last 2,048 changes of each kind for the watches of other hosts, whatever their size. It keeps at most 8 MB of them now, or the newest one. A follower that is further behind lists its source again.

--- a/crates/node/src/gateway/store_copy.rs
+++ b/crates/node/src/gateway/store_copy.rs
@@ -8,6 +8,9 @@
 /// Changes that a copy keeps for the watches of other hosts.
 const MAX_CHANGES: usize = 2048;
 
+/// Bytes of object text in these changes.  Only the newest one may be larger.
+const MAX_CHANGE_BYTES: usize = 8 << 20;
+
 /// A change of an object in the form in which the store sent it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RawChange {
@@ -53,6 +56,8 @@
 struct State {
     objects: collections::BTreeMap<String, String>,
     changes: collections::VecDeque<RawChange>,
+    /// Bytes of object text in `changes`.
+    change_bytes: usize,
     /// Revision up to which changes are no longer kept, in the era of `revision`.
     oldest: u64,
     revision: decisions::StoreRevision,
@@ -62,6 +67,20 @@
     is_current: bool,
 }
 
+impl State {
+    fn drop_old_changes(&mut self) {
+        while self.changes.len() > MAX_CHANGES
+            || (self.change_bytes > MAX_CHANGE_BYTES && self.changes.len() > 1)
+        {
+            let Some(dropped) = self.changes.pop_front() else {
+                return;
+            };
+            self.change_bytes -= dropped.object.len();
+            self.oldest = dropped.revision;
+        }
+    }
+}
+
 /// Copy of the objects of one kind.  Only a host that reads the store itself serves it, so that no
 /// host follows one that follows another.
 #[derive(Debug)]
@@ -88,6 +107,7 @@
         self.state.send_modify(|state| {
             state.objects = objects.into_iter().collect();
             state.changes.clear();
+            state.change_bytes = 0;
             state.oldest = revision.revision;
             state.revision = revision;
             state.newest = revision.revision;
@@ -111,12 +131,10 @@
                         .objects
                         .insert(change.name.clone(), change.object.clone()),
                 };
+                state.change_bytes += change.object.len();
                 state.changes.push_back(change);
             }
-            while state.changes.len() > MAX_CHANGES {
-                let dropped = state.changes.pop_front();
-                state.oldest = dropped.map_or(state.oldest, |change| change.revision);
-            }
+            state.drop_old_changes();
             state.revision = state.revision.max(revision);
             state.is_current = is_from_store;
         });
--- a/crates/node/tests/gateway_store_copy.rs
+++ b/crates/node/tests/gateway_store_copy.rs
@@ -183,3 +183,27 @@
         Err(CopyError::NotCurrent)
     );
 }
+
+/// Guards against a host whose memory grows with each version of a large object (LOST).
+#[tokio::test(start_paused = true)]
+async fn few_changes_of_large_objects_are_kept() {
+    let copy = listed();
+    let text = "x".repeat(1 << 20);
+    for revision in 11..80 {
+        copy.apply(vec![set("a", &text, revision)], at(revision), true);
+    }
+    assert_eq!(
+        copy.watch(at(60), LONG_WAIT).await,
+        Err(CopyError::HistoryGone)
+    );
+    assert_eq!(
+        copy.watch(at(76), LONG_WAIT).await.unwrap().changes.len(),
+        3
+    );
+    // One that is larger than all that is kept reaches the watches, too.
+    copy.apply(vec![set("a", &text.repeat(9), 80)], at(80), true);
+    assert_eq!(
+        copy.watch(at(79), LONG_WAIT).await.unwrap().changes.len(),
+        1
+    );
+}
