Break off interim responses without end (LOST)

What others saw: bytes without end in a head. Interim responses are dropped one by one, so memory doesn't grow, but a host spent its processor time on them until the deadline: 6.7 GB in four calls of the store's client.

--- a/crates/node/src/backend/connection.rs
+++ b/crates/node/src/backend/connection.rs
@@ -8,6 +8,7 @@
 use tokio_util::task;
 
 use super::Error;
+use crate::interim;
 
 /// A connection that carries one request at a time; dropping it closes it.
 pub(crate) struct Connection<B> {
@@ -60,13 +61,20 @@
     /// Sends a request; [`Error::Connect`] where no byte of it was written.
     pub(crate) async fn send(
         &mut self,
-        req: http::Request<B>,
+        mut req: http::Request<B>,
     ) -> Result<http::Response<hyper::body::Incoming>, Error> {
         self.sender
             .ready()
             .await
             .map_err(|e| Error::Connect(e.to_string()))?;
-        match self.sender.try_send_request(req).await {
+        let limit = interim::InterimLimit::new(&mut req);
+        let sent = tokio::select! {
+            sent = self.sender.try_send_request(req) => sent,
+            () = limit.exceeded() => {
+                return Err(Error::Broken("interim responses without end".to_string()));
+            }
+        };
+        match sent {
             Ok(response) => Ok(response),
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(Error::Connect("the connection was closed".to_string())),
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -13,6 +13,7 @@
 #[cfg(feature = "daemon")]
 pub mod flags;
 pub mod gateway;
+pub mod interim;
 #[cfg(feature = "daemon")]
 pub mod meter;
 #[cfg(feature = "daemon")]
