--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -8,7 +8,7 @@
 use super::{activity_mark, store_copy, store_state};
 
 /// Longest time for which the store holds a watch open without changes.
-const MAX_WATCH_TIME: time::Duration = time::Duration::from_secs(20);
+const MAX_WATCH_TIME: time::Duration = time::Duration::from_secs(30);
 
 /// Time for which the store holds the first watch after an interrupted one.
 const FIRST_WATCH_TIME: time::Duration = time::Duration::from_millis(50);
@@ -117,6 +117,27 @@
     pub needs_new_connection: bool,
 }
 
+impl WatchLimits {
+    /// Limits of a watch that ends after `wait`; of a long one if there is none.
+    fn new(wait: Option<time::Duration>) -> WatchLimits {
+        WatchLimits {
+            wait: wait.unwrap_or(MAX_WATCH_TIME).max(FIRST_WATCH_TIME),
+            silence: WATCH_SILENCE,
+            needs_new_connection: false,
+        }
+    }
+
+    /// Limits of the first watch after an interrupted one, which shows at once that the store
+    /// responds, and its era.
+    fn first(needs_new_connection: bool) -> WatchLimits {
+        WatchLimits {
+            wait: FIRST_WATCH_TIME,
+            silence: FIRST_WATCH_SILENCE,
+            needs_new_connection,
+        }
+    }
+}
+
 /// Calls that read one kind of object.
 pub struct StoreReader<T> {
     /// Lists all objects.
@@ -143,6 +164,8 @@
     /// Delay after a watch that returned changes. Changes in quick succession then arrive with one
     /// call; every call incurs a cost.
     pub batch_delay: time::Duration,
+    /// Time between the verifications of the kind by one of the hosts.
+    pub verification_interval: time::Duration,
 }
 
 /// What a watch reports of one kind of object.
@@ -167,6 +190,7 @@
     mut on_event: impl FnMut(StoreEvent<T>),
 ) {
     let mut freshness = options.initial_freshness;
+    let interval = options.verification_interval;
     let mut revision: Option<decisions::StoreRevision> = None;
     let mut listed: Option<decisions::StoreRevision> = None;
     let mut was_interrupted = false;
@@ -187,7 +211,7 @@
             on_event(StoreEvent::Available(false));
         }
         was_store_failed = is_store_failed;
-        let may_call = !is_store_failed || state.may_serve(kind, last_call);
+        let may_call = !is_store_failed || state.may_serve(kind, interval, last_call);
         if !is_followed && may_call {
             last_call = tokio::time::Instant::now();
         }
@@ -200,12 +224,18 @@
             (_, Some(since)) if since.era < state.era() => Err(StoreError::HistoryGone),
             (_, None) => (reader.list)(freshness).await.map(Read::Listing),
             (_, Some(since)) => {
-                let limits = watch_limits(kind, state, was_interrupted, is_connection_suspect);
+                let limits = match was_interrupted {
+                    true => WatchLimits::first(is_connection_suspect),
+                    false => WatchLimits::new(state.watch_time(kind, interval)),
+                };
                 let changes = (reader.watch)(since, limits);
                 let watched = match was_interrupted {
                     // It is short.
                     true => changes.await,
-                    false => watch_until_stale(kind, state, changes, since, &reader.activity).await,
+                    false => {
+                        let activity = &reader.activity;
+                        watch_until_stale(kind, state, changes, since, interval, activity).await
+                    }
                 };
                 watched.map(Read::Changes)
             }
@@ -239,7 +269,7 @@
                             state.record(kind, newest);
                         }
                         if let Some(listed) = listed.filter(|_| !is_followed) {
-                            state.record_watch(kind, listed);
+                            state.record_watch(kind, interval, listed);
                         }
                         revision = revision.max(Some(batch.revision));
                         has_changes = !batch.changes.is_empty();
@@ -382,28 +412,6 @@
     }
 }
 
-/// Limits of the next watch of the store itself.
-fn watch_limits(
-    kind: &str,
-    state: &store_state::StoreState,
-    was_interrupted: bool,
-    needs_new_connection: bool,
-) -> WatchLimits {
-    // After an interruption one shows at once that the store responds, and its era.
-    let (wait, silence) = match was_interrupted {
-        true => (FIRST_WATCH_TIME, FIRST_WATCH_SILENCE),
-        false => {
-            let wait = state.watch_time(kind).unwrap_or(MAX_WATCH_TIME);
-            (wait.max(FIRST_WATCH_TIME), WATCH_SILENCE)
-        }
-    };
-    WatchLimits {
-        wait,
-        silence,
-        needs_new_connection,
-    }
-}
-
 /// Waits for changes; fails if the watch does not deliver a change that other hosts have seen, if
 /// nobody has verified the kind for too long, or if the store has come back from an older copy.
 async fn watch_until_stale<T>(
@@ -411,6 +419,7 @@
     state: &store_state::StoreState,
     changes: StoreFuture<WatchBatch<T>>,
     since: decisions::StoreRevision,
+    interval: time::Duration,
     activity: &activity_mark::ActivityMark,
 ) -> Result<WatchBatch<T>, StoreError> {
     let timeout = store_state::STALE_WATCH_TIMEOUT;
@@ -421,7 +430,7 @@
             log::info!(kind, era = since.era, since = since.revision; "store watch is stale; other hosts have seen newer changes");
             Err(StoreError::Silent("stale watch".to_string()))
         }
-        () = state.wait_until_overdue(kind) => {
+        () = state.wait_until_overdue(kind, interval) => {
             Err(StoreError::Silent("no host has verified what is known".to_string()))
         }
     }
--- a/crates/node/src/gateway/store_state.rs
+++ b/crates/node/src/gateway/store_state.rs
@@ -129,12 +129,17 @@
     }
 
     /// Records that a watch of the store itself was answered, by a host that is to verify the kind.
-    pub(super) fn record_watch(&self, kind: &str, listed: decisions::StoreRevision) {
+    pub(super) fn record_watch(
+        &self,
+        kind: &str,
+        interval: time::Duration,
+        listed: decisions::StoreRevision,
+    ) {
         let now = self.now();
         let rank = self.verifier_rank();
         self.view.send_if_modified(|view| {
             let before = view.progress().newest(kind);
-            if view.is_verification_due(kind, rank, now) {
+            if view.is_verification_due(kind, rank, interval, now) {
                 view.verify(kind, listed, now);
             }
             view.progress().newest(kind) != before
@@ -142,10 +147,15 @@
     }
 
     /// Whether a host whose sources can't reach the store may call it itself, `since` its last call.
-    pub(super) fn may_serve(&self, kind: &str, since: tokio::time::Instant) -> bool {
+    pub(super) fn may_serve(
+        &self,
+        kind: &str,
+        interval: time::Duration,
+        since: tokio::time::Instant,
+    ) -> bool {
         let now = self.now();
         let last_call = since.saturating_duration_since(self.started);
-        self.view.borrow().may_serve(kind, last_call, now)
+        self.view.borrow().may_serve(kind, interval, last_call, now)
     }
 
     /// Takes over what another host tells; returns whether any of it is newer.
@@ -176,10 +186,14 @@
     }
 
     /// Time after which the next watch of a kind ends without changes; `None` for a long one.
-    pub(super) fn watch_time(&self, kind: &str) -> Option<time::Duration> {
+    pub(super) fn watch_time(
+        &self,
+        kind: &str,
+        interval: time::Duration,
+    ) -> Option<time::Duration> {
         let now = self.now();
         let view = self.view.borrow();
-        view.watch_time(kind, self.verifier_rank(), now)
+        view.watch_time(kind, self.verifier_rank(), interval, now)
     }
 
     /// Waits until another host has seen a change newer than `since` and no part of the answer has
@@ -199,18 +213,18 @@
     }
 
     /// Waits until nobody has verified a kind for so long that this host has to do it itself.
-    pub(super) async fn wait_until_overdue(&self, kind: &str) {
+    pub(super) async fn wait_until_overdue(&self, kind: &str, interval: time::Duration) {
         loop {
             let rank = self.verifier_rank();
-            let overdue_at = self.view.borrow().overdue_at(kind, rank);
+            let overdue_at = self.view.borrow().overdue_at(kind, rank, interval);
             let left = overdue_at.map(|at| at.saturating_sub(self.now()));
             if left == Some(time::Duration::ZERO) {
                 return;
             }
-            let interval = left.map_or(OVERDUE_CHECK_INTERVAL, |left| {
+            let pause = left.map_or(OVERDUE_CHECK_INTERVAL, |left| {
                 left.min(OVERDUE_CHECK_INTERVAL)
             });
-            tokio::time::sleep(interval).await;
+            tokio::time::sleep(pause).await;
         }
     }
 
--- a/crates/node/tests/gateway_list_watch.rs
+++ b/crates/node/tests/gateway_list_watch.rs
@@ -13,6 +13,7 @@
 const OPTIONS: WatchOptions = WatchOptions {
     initial_freshness: Freshness::MayBeStale,
     batch_delay: Duration::from_millis(800),
+    verification_interval: Duration::from_millis(750),
 };
 
 /// Position in the first era of the store.
--- a/crates/steering/src/gateway/store_view.rs
+++ b/crates/steering/src/gateway/store_view.rs
@@ -13,11 +13,9 @@
 use super::store_revision;
 use crate::model;
 
-/// Time between the verifications of a kind.
-const VERIFICATION_INTERVAL: time::Duration = time::Duration::from_millis(750);
-
-/// Age of a verification at which the host that is next in turn verifies the kind, too.
-const TAKEOVER_AGE: time::Duration = time::Duration::from_millis(1500);
+/// Number of intervals between verifications after which a verification is overdue, and the host that
+/// is next in turn verifies the kind, too.
+const OVERDUE_INTERVALS: u32 = 2;
 
 /// Further age for each host that comes before in turn.
 const TAKEOVER_STEP: time::Duration = time::Duration::from_millis(100);
@@ -166,38 +164,57 @@
             .collect()
     }
 
-    /// Time after which the next watch of a kind ends without changes; `None` for a long one.
+    /// Time after which the next watch of a kind, which is verified at `interval`, ends without
+    /// changes; `None` for a long one.
     pub fn watch_time(
         &self,
         kind: &str,
         rank: VerifierRank,
+        interval: time::Duration,
         now: model::Time,
     ) -> Option<time::Duration> {
         (rank == 0).then(|| {
             let age = self.age(kind, now).unwrap_or_default();
-            VERIFICATION_INTERVAL.saturating_sub(age)
+            interval.saturating_sub(age)
         })
     }
 
     /// Whether an answer of the store to this host is to verify a kind for all hosts.
-    pub fn is_verification_due(&self, kind: &str, rank: VerifierRank, now: model::Time) -> bool {
+    pub fn is_verification_due(
+        &self,
+        kind: &str,
+        rank: VerifierRank,
+        interval: time::Duration,
+        now: model::Time,
+    ) -> bool {
         let age = self.age(kind, now);
-        rank == 0 || age.is_none_or(|age| age >= TAKEOVER_AGE)
+        rank == 0 || age.is_none_or(|age| age >= interval * OVERDUE_INTERVALS)
     }
 
     /// Whether a host whose sources can't reach the store may call it itself: the store is known to
     /// serve others, or nothing has been heard of it for long.
-    pub fn may_serve(&self, kind: &str, last_call: model::Time, now: model::Time) -> bool {
+    pub fn may_serve(
+        &self,
+        kind: &str,
+        interval: time::Duration,
+        last_call: model::Time,
+        now: model::Time,
+    ) -> bool {
         let age = self.age(kind, now);
-        age.is_none_or(|age| age < TAKEOVER_AGE) || now >= last_call + MAX_AGE
+        age.is_none_or(|age| age < interval * OVERDUE_INTERVALS) || now >= last_call + MAX_AGE
     }
 
     /// When this host can rely on its last answer, and on what others tell, no longer and has to
     /// verify a kind itself; `None` if it does so regularly.
-    pub fn overdue_at(&self, kind: &str, rank: VerifierRank) -> Option<model::Time> {
+    pub fn overdue_at(
+        &self,
+        kind: &str,
+        rank: VerifierRank,
+        interval: time::Duration,
+    ) -> Option<model::Time> {
         let before_own = rank.checked_sub(1)?;
         let age = match before_own < TAKEOVER_HOSTS {
-            true => TAKEOVER_AGE + TAKEOVER_STEP * before_own,
+            true => interval * OVERDUE_INTERVALS + TAKEOVER_STEP * before_own,
             false => MAX_AGE,
         };
         let verified = self.verified.get(kind).copied().unwrap_or_default();
--- a/crates/steering/tests/gateway/store_view.rs
+++ b/crates/steering/tests/gateway/store_view.rs
@@ -7,6 +7,9 @@
 
 const KIND: &str = "config";
 
+/// Interval between verifications.
+const INTERVAL: Duration = Duration::from_millis(750);
+
 fn ms(ms: u64) -> Duration {
     Duration::from_millis(ms)
 }
@@ -23,10 +26,10 @@
 fn only_the_first_host_in_turn_watches_for_a_short_time() {
     let mut view = StoreView::default();
     view.verify(KIND, at(5), ms(1000));
-    assert_eq!(view.watch_time(KIND, 0, ms(1000)), Some(ms(750)));
-    assert_eq!(view.watch_time(KIND, 0, ms(1600)), Some(ms(150)));
-    assert_eq!(view.watch_time(KIND, 0, ms(9000)), Some(ms(0)));
-    assert_eq!(view.watch_time(KIND, 1, ms(9000)), None);
+    assert_eq!(view.watch_time(KIND, 0, INTERVAL, ms(1000)), Some(ms(750)));
+    assert_eq!(view.watch_time(KIND, 0, INTERVAL, ms(1600)), Some(ms(150)));
+    assert_eq!(view.watch_time(KIND, 0, INTERVAL, ms(9000)), Some(ms(0)));
+    assert_eq!(view.watch_time(KIND, 1, INTERVAL, ms(9000)), None);
 }
 
 /// Guards against hosts that wait for a verification which nobody makes, and against all of them
@@ -35,7 +38,7 @@
 fn a_few_hosts_take_over_one_after_the_other() {
     let mut view = StoreView::default();
     view.verify(KIND, at(5), ms(1000));
-    let overdue = |rank| view.overdue_at(KIND, rank);
+    let overdue = |rank| view.overdue_at(KIND, rank, INTERVAL);
     assert_eq!(overdue(0), None);
     assert_eq!(overdue(1), Some(ms(2500)));
     assert_eq!(overdue(3), Some(ms(2700)));
