--- a/crates/node/src/gateway/frontend.rs
+++ b/crates/node/src/gateway/frontend.rs
@@ -107,6 +107,7 @@
         .serve_connection(rt::TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut is_closing = false;
+    let mut idle_close: Option<time::Instant> = None;
     loop {
         tokio::select! {
             ended = connection.as_mut() => {
@@ -119,10 +120,17 @@
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing => {
+            () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing || idle_close.is_some() => {
                 let timeout = gateway.client_limits().idle_timeout;
-                if activity.idle_since().is_some_and(|since| since.elapsed() >= timeout) {
+                let is_over = |since: time::Instant| since.elapsed() >= timeout;
+                // The answer can't be written: the client doesn't read.
+                if idle_close.is_some_and(is_over) {
+                    log::info!(client:% = peer; "client does not read its answers; closed");
+                    return;
+                }
+                if !is_closing && activity.idle_since().is_some_and(is_over) {
                     is_closing = true;
+                    idle_close = Some(time::Instant::now());
                     connection.as_mut().graceful_shutdown();
                 }
             }
