Split the reading of a kind into steps

One function listed, watched, applied and decided on failures; verified positions made it longer still. What it keeps between reads is a struct now, with a function for each step.

--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -189,21 +189,15 @@
     reader: StoreReader<T>,
     mut on_event: impl FnMut(StoreEvent<T>),
 ) {
-    let mut freshness = options.initial_freshness;
-    let interval = options.verification_interval;
-    let mut revision: Option<decisions::StoreRevision> = None;
-    let mut listed: Option<decisions::StoreRevision> = None;
-    let mut was_interrupted = false;
-    let mut is_connection_suspect = false;
-    let mut last_call = tokio::time::Instant::now();
+    let mut watcher = Watcher::new(kind, options, state, reader);
     let mut was_store_failed = false;
     loop {
         let permit = state.acquire_permit().await;
         if permit.is_some() {
             // A list shows at once that the store is back; a watch would wait for a change.
-            revision = None;
+            watcher.revision = None;
         }
-        let followed = follow(&reader, revision).await;
+        let followed = follow(&watcher.reader, watcher.revision).await;
         let is_followed = matches!(followed, Followed::Read(_));
         let is_store_failed = matches!(followed, Followed::StoreFailed);
         if is_store_failed && !was_store_failed {
@@ -211,79 +205,12 @@
             on_event(StoreEvent::Available(false));
         }
         was_store_failed = is_store_failed;
-        let may_call = !is_store_failed || state.may_serve(kind, interval, last_call);
-        if !is_followed && may_call {
-            last_call = tokio::time::Instant::now();
-        }
-        let read = match (followed, revision) {
-            (Followed::Read(read), _) => Ok(read),
-            _ if !may_call => Err(StoreError::Unavailable(
-                "the hosts that are followed can't reach it".to_string(),
-            )),
-            (Followed::HistoryGone, _) => Err(StoreError::HistoryGone),
-            (_, Some(since)) if since.era < state.era() => Err(StoreError::HistoryGone),
-            (_, None) => (reader.list)(freshness).await.map(Read::Listing),
-            (_, Some(since)) => {
-                let limits = match was_interrupted {
-                    true => WatchLimits::first(is_connection_suspect),
-                    false => WatchLimits::new(state.watch_time(kind, interval)),
-                };
-                let changes = (reader.watch)(since, limits);
-                let watched = match was_interrupted {
-                    // It is short.
-                    true => changes.await,
-                    false => {
-                        let activity = &reader.activity;
-                        watch_until_stale(kind, state, changes, since, interval, activity).await
-                    }
-                };
-                watched.map(Read::Changes)
-            }
-        };
-        is_connection_suspect = false;
-        let mut has_changes = false;
-        let result = read
-            .and_then(|read| read.check_era(revision, state))
-            .map(|read| {
-                let silence = state.record_answer(kind, read.newest());
-                if !read.is_empty() {
-                    log_read(kind, &read, is_followed, silence);
-                }
-                // A source whose watch hangs answers without changes, too.
-                if !is_followed || !read.is_empty() {
-                    on_event(StoreEvent::Available(true));
-                }
-                match read {
-                    Read::Listing(listing) => {
-                        let at = listing.revision;
-                        state.record_era(at.era);
-                        revision = Some(at);
-                        let is_restored = listed.replace(at).is_some_and(|last| last.era < at.era);
-                        on_event(match is_restored {
-                            true => StoreEvent::Restored(listing.objects),
-                            false => StoreEvent::Listed(listing.objects),
-                        });
-                    }
-                    Read::Changes(batch) => {
-                        if let Some(newest) = batch.newest {
-                            state.record(kind, newest);
-                        }
-                        if let Some(listed) = listed.filter(|_| !is_followed) {
-                            state.record_watch(kind, interval, listed);
-                        }
-                        revision = revision.max(Some(batch.revision));
-                        has_changes = !batch.changes.is_empty();
-                        batch
-                            .changes
-                            .into_iter()
-                            .for_each(|change| on_event(StoreEvent::Changed(change)));
-                    }
-                }
-            });
-        freshness = Freshness::Current;
+        let read = watcher.read(followed).await;
+        let read = read.and_then(|read| read.check_era(watcher.revision, state));
+        let result = read.map(|read| watcher.apply(read, is_followed, &mut on_event));
         match result {
-            Ok(()) => {
-                was_interrupted = false;
+            Ok(has_changes) => {
+                watcher.was_interrupted = false;
                 state.record_success(permit);
                 // The host that reads the store has waited already.
                 if has_changes && !is_followed {
@@ -291,26 +218,26 @@
                 }
             }
             // The store may end a pending watch at any time; if it ends every call, it is down.
-            Err(StoreError::Interrupted(reason)) if revision.is_some() && !was_interrupted => {
-                was_interrupted = true;
+            Err(StoreError::Interrupted(reason)) if watcher.may_try_again() => {
+                watcher.was_interrupted = true;
                 log::debug!(kind, reason:%; "store watch interrupted; retrying");
                 drop(permit);
                 tokio::time::sleep(store_state::INITIAL_BACKOFF).await;
             }
-            Err(StoreError::Silent(reason)) if revision.is_some() && !was_interrupted => {
-                was_interrupted = true;
-                is_connection_suspect = true;
+            Err(StoreError::Silent(reason)) if watcher.may_try_again() => {
+                watcher.was_interrupted = true;
+                watcher.is_connection_suspect = true;
                 log::info!(kind, reason:%; "store watch given up; trying a new connection");
             }
             Err(e) => {
                 log::warn!(kind, error:% = e; "store call failed");
-                revision = None;
+                watcher.revision = None;
                 // What other hosts read from this one holds until it has listed again.
                 if e == StoreError::HistoryGone {
                     state.record_success(permit);
                     continue;
                 }
-                reader.copy.set_not_current();
+                watcher.reader.copy.set_not_current();
                 on_event(StoreEvent::Available(false));
                 let max_backoff = match e {
                     StoreError::Unreachable(_) => MAX_CONNECT_BACKOFF,
@@ -322,6 +249,153 @@
     }
 }
 
+/// How far the reading of one kind has come.
+struct Watcher<'a, T> {
+    kind: &'a str,
+    options: WatchOptions,
+    state: &'a store_state::StoreState,
+    reader: StoreReader<T>,
+    /// Freshness of the next list.
+    freshness: Freshness,
+    /// Position to watch from; `None` if all objects are to be listed.
+    revision: Option<decisions::StoreRevision>,
+    /// Position of the last list.
+    listed: Option<decisions::StoreRevision>,
+    /// Whether the last watch was interrupted or given up.
+    was_interrupted: bool,
+    /// Whether its connection may be silent.
+    is_connection_suspect: bool,
+    /// Time of the last call to the store itself.
+    last_call: tokio::time::Instant,
+}
+
+impl<'a, T> Watcher<'a, T> {
+    fn new(
+        kind: &'a str,
+        options: WatchOptions,
+        state: &'a store_state::StoreState,
+        reader: StoreReader<T>,
+    ) -> Watcher<'a, T> {
+        Watcher {
+            kind,
+            options,
+            state,
+            reader,
+            freshness: options.initial_freshness,
+            revision: None,
+            listed: None,
+            was_interrupted: false,
+            is_connection_suspect: false,
+            last_call: tokio::time::Instant::now(),
+        }
+    }
+
+    /// Whether an interrupted watch is tried once more before the store counts as unavailable.
+    fn may_try_again(&self) -> bool {
+        self.revision.is_some() && !self.was_interrupted
+    }
+
+    /// Reads the store itself, unless another host was followed or can't reach the store either.
+    async fn read(&mut self, followed: Followed<Read<T>>) -> Result<Read<T>, StoreError> {
+        let interval = self.options.verification_interval;
+        let freshness = std::mem::replace(&mut self.freshness, Freshness::Current);
+        match followed {
+            Followed::Read(read) => return Ok(read),
+            Followed::HistoryGone => return Err(StoreError::HistoryGone),
+            Followed::StoreFailed if !self.state.may_serve(self.kind, interval, self.last_call) => {
+                let reason = "the hosts that are followed can't reach it";
+                return Err(StoreError::Unavailable(reason.to_string()));
+            }
+            Followed::StoreFailed | Followed::NoSource => {}
+        }
+        self.last_call = tokio::time::Instant::now();
+        match self.revision {
+            Some(since) if since.era < self.state.era() => Err(StoreError::HistoryGone),
+            Some(since) => self.watch(since).await.map(Read::Changes),
+            None => (self.reader.list)(freshness).await.map(Read::Listing),
+        }
+    }
+
+    async fn watch(
+        &mut self,
+        since: decisions::StoreRevision,
+    ) -> Result<WatchBatch<T>, StoreError> {
+        let is_suspect = std::mem::take(&mut self.is_connection_suspect);
+        if self.was_interrupted {
+            return (self.reader.watch)(since, WatchLimits::first(is_suspect)).await;
+        }
+        let interval = self.options.verification_interval;
+        let limits = WatchLimits::new(self.state.watch_time(self.kind, interval));
+        let changes = (self.reader.watch)(since, limits);
+        tokio::select! {
+            batch = changes => batch,
+            reason = self.until_given_up(since) => Err(reason),
+        }
+    }
+
+    /// Waits until a watch does not deliver a change that other hosts have seen, nobody has verified
+    /// the kind for too long, or the store has come back from an older copy.
+    async fn until_given_up(&self, since: decisions::StoreRevision) -> StoreError {
+        let Watcher { kind, state, .. } = *self;
+        let timeout = store_state::STALE_WATCH_TIMEOUT;
+        let interval = self.options.verification_interval;
+        tokio::select! {
+            () = state.wait_until_restored(since.era) => StoreError::HistoryGone,
+            () = state.wait_until_stale(kind, since, timeout, &self.reader.activity) => {
+                log::info!(kind, era = since.era, since = since.revision; "store watch is stale; other hosts have seen newer changes");
+                StoreError::Silent("stale watch".to_string())
+            }
+            () = state.wait_until_overdue(kind, interval) => {
+                StoreError::Silent("no host has verified what is known".to_string())
+            }
+        }
+    }
+
+    /// Reports what was read; returns whether it contains changes.
+    fn apply(
+        &mut self,
+        read: Read<T>,
+        is_followed: bool,
+        on_event: &mut impl FnMut(StoreEvent<T>),
+    ) -> bool {
+        let silence = self.state.record_answer(self.kind, read.newest());
+        if !read.is_empty() {
+            log_read(self.kind, &read, is_followed, silence);
+        }
+        // A source whose watch hangs answers without changes, too.
+        if !is_followed || !read.is_empty() {
+            on_event(StoreEvent::Available(true));
+        }
+        match read {
+            Read::Listing(listing) => {
+                let at = listing.revision;
+                self.state.record_era(at.era);
+                self.revision = Some(at);
+                let last = self.listed.replace(at);
+                on_event(match last.is_some_and(|last| last.era < at.era) {
+                    true => StoreEvent::Restored(listing.objects),
+                    false => StoreEvent::Listed(listing.objects),
+                });
+                false
+            }
+            Read::Changes(batch) => {
+                if let Some(newest) = batch.newest {
+                    self.state.record(self.kind, newest);
+                }
+                if let Some(listed) = self.listed.filter(|_| !is_followed) {
+                    let interval = self.options.verification_interval;
+                    self.state.record_watch(self.kind, interval, listed);
+                }
+                self.revision = self.revision.max(Some(batch.revision));
+                let has_changes = !batch.changes.is_empty();
+                let changes = batch.changes.into_iter();
+                changes.for_each(|change| on_event(StoreEvent::Changed(change)));
+                has_changes
+            }
+        }
+    }
+}
+
 /// Logs what was read, with the time since the answer before it, in which this host knew nothing
 /// newer.
 fn log_read<T>(kind: &str, read: &Read<T>, is_followed: bool, silence: Option<time::Duration>) {
@@ -411,27 +485,3 @@
         }
     }
 }
-
-/// Waits for changes; fails if the watch does not deliver a change that other hosts have seen, if
-/// nobody has verified the kind for too long, or if the store has come back from an older copy.
-async fn watch_until_stale<T>(
-    kind: &str,
-    state: &store_state::StoreState,
-    changes: StoreFuture<WatchBatch<T>>,
-    since: decisions::StoreRevision,
-    interval: time::Duration,
-    activity: &activity_mark::ActivityMark,
-) -> Result<WatchBatch<T>, StoreError> {
-    let timeout = store_state::STALE_WATCH_TIMEOUT;
-    tokio::select! {
-        batch = changes => batch,
-        () = state.wait_until_restored(since.era) => Err(StoreError::HistoryGone),
-        () = state.wait_until_stale(kind, since, timeout, activity) => {
-            log::info!(kind, era = since.era, since = since.revision; "store watch is stale; other hosts have seen newer changes");
-            Err(StoreError::Silent("stale watch".to_string()))
-        }
-        () = state.wait_until_overdue(kind, interval) => {
-            Err(StoreError::Silent("no host has verified what is known".to_string()))
-        }
-    }
-}
