--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 mod connection_pool;
 mod demand;
 mod error;
+mod exchange;
 mod fingerprint;
 mod forward;
 mod frontend;
