--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -64,11 +64,15 @@
     ) -> anyhow::Result<Host> {
         let ip = own_address(number);
         let mut ports = [0; 4];
+        // Held until all are chosen: a port that is free again may be given out twice.
+        let mut listeners = Vec::new();
         for port in &mut ports {
             let free = tokio::net::TcpListener::bind((ip, 0)).await;
             let free = free.with_context(|| format!("no port at {ip}"))?;
             *port = free.local_addr()?.port();
+            listeners.push(free);
         }
+        drop(listeners);
         let place = objects::HostConfig {
             name: format!("host-{number}"),
             ip,
