Read many changes without a pause between their parts (DRAIN)

Cause: the store puts some 500 events into an answer, and a host paused for 0.8 s after each, as after one that holds all. Followers then left their sources as lagging and listed 1,080 servers themselves. An answer that may be cut is continued at once now. It also doesn't count as a verification, which would have been untrue.

--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -10,7 +10,8 @@
 /// Longest time for which the store holds a watch open without changes.
 const MAX_WATCH_TIME: time::Duration = time::Duration::from_secs(30);
 
-/// Time for which the store holds the first watch after an interrupted one.
+/// Time for which the store holds the first watch after an interrupted one, or after one whose answer
+/// may be cut.
 const FIRST_WATCH_TIME: time::Duration = time::Duration::from_millis(50);
 
 /// Time beyond the end of a watch after which it counts as silent.
@@ -76,6 +77,8 @@
     pub revision: decisions::StoreRevision,
     /// Position of the newest change; `None` if there is none.
     pub newest: Option<decisions::StoreRevision>,
+    /// Whether the store may have more changes than it has put into this answer.
+    pub may_be_cut: bool,
 }
 
 /// Future of a call to the store.
@@ -213,7 +216,7 @@
                 watcher.was_interrupted = false;
                 state.record_success(permit);
                 // The host that reads the store has waited already.
-                if has_changes && !is_followed {
+                if has_changes && !is_followed && !watcher.may_have_more {
                     tokio::time::sleep(options.batch_delay).await;
                 }
             }
@@ -265,6 +268,8 @@
     was_interrupted: bool,
     /// Whether its connection may be silent.
     is_connection_suspect: bool,
+    /// Whether the store may have more changes than the last watch returned.
+    may_have_more: bool,
     /// Time of the last call to the store itself.
     last_call: tokio::time::Instant,
 }
@@ -286,6 +291,7 @@
             listed: None,
             was_interrupted: false,
             is_connection_suspect: false,
+            may_have_more: false,
             last_call: tokio::time::Instant::now(),
         }
     }
@@ -325,7 +331,10 @@
             return (self.reader.watch)(since, WatchLimits::first(is_suspect)).await;
         }
         let interval = self.options.verification_interval;
-        let limits = WatchLimits::new(self.state.watch_time(self.kind, interval));
+        let limits = match self.may_have_more {
+            true => WatchLimits::new(Some(FIRST_WATCH_TIME)),
+            false => WatchLimits::new(self.state.watch_time(self.kind, interval)),
+        };
         let changes = (self.reader.watch)(since, limits);
         tokio::select! {
             batch = changes => batch,
@@ -382,7 +391,10 @@
                 if let Some(newest) = batch.newest {
                     self.state.record(self.kind, newest);
                 }
-                if let Some(listed) = self.listed.filter(|_| !is_followed) {
+                // Versions of one large object are still gathered: each costs more than its call.
+                let is_one = batch.changes.len() <= 1;
+                self.may_have_more = batch.may_be_cut && !is_followed && !is_one;
+                if let Some(listed) = self.listed.filter(|_| !is_followed && !batch.may_be_cut) {
                     let interval = self.options.verification_interval;
                     self.state.record_watch(self.kind, interval, listed);
                 }
--- a/crates/node/tests/gateway_list_watch.rs
+++ b/crates/node/tests/gateway_list_watch.rs
@@ -78,6 +78,7 @@
                         changes: vec![Change::Set(since.revision)],
                         revision: next(since),
                         newest: Some(next(since)),
+                        may_be_cut: false,
                     })
                 })
             }),
@@ -259,6 +260,7 @@
                     changes: vec![Change::Set(since.revision)],
                     revision: next(since),
                     newest: Some(next(since)),
+                    may_be_cut: false,
                 })
             })
         }),
