--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -1,4 +1,4 @@
-//! What hosts tell each other, and which of them this one reads from.
+//! Messages between hosts, and the hosts that this one reads the store from.
 
 use std::net;
 
@@ -7,7 +7,7 @@
 use super::{gateway, state};
 
 impl gateway::Gateway {
-    /// Whether other data centres should be told at once of a request that crashes backend servers.
+    /// Whether a request that crashes backend servers is to be reported to other data centres at once.
     pub(super) fn take_urgency(&self) -> bool {
         self.lock().crash_book.take_urgency()
     }
@@ -20,17 +20,17 @@
         let in_flight = state.dispatcher.in_flight_by_server();
         let contacts = state.members.contacts_to_send(now);
         let (store, store_checks) = self.store_state.progress();
-        let news = self
+        let report = self
             .store_state
-            .take_news()
+            .take_report()
             .then(|| decisions::Outgoing {
-                to: state.members.store_news_recipients(now),
-                message: decisions::Message::StoreNews {
+                to: state.members.store_report_recipients(now),
+                message: decisions::Message::StoreReport {
                     progress: store.clone(),
                     checks: store_checks.clone(),
                 },
             })
-            .filter(|news| !news.to.is_empty());
+            .filter(|report| !report.to.is_empty());
         let heartbeat = decisions::Heartbeat {
             member: self.settings.member.clone(),
             is_ready: state.route_table.version().is_some() && state.stops_at.is_none(),
@@ -65,7 +65,7 @@
             .into_iter()
             .chain(summary)
             .chain(introduction)
-            .chain(news)
+            .chain(report)
             .collect()
     }
 
@@ -76,20 +76,20 @@
         match &message {
             decisions::Message::Heartbeat(h) => {
                 let is_local = h.member.data_centre == self.own_data_centre;
-                self.adopt_store_news(&mut state, &h.store, &h.store_checks, is_local, now);
+                self.adopt_store_progress(&mut state, &h.store, &h.store_checks, is_local, now);
                 self.adopt_shared_state(&mut state, &h.blocks, &h.shares, now);
                 state.adopt_signals(&h.limits, &h.leaving, now);
                 state.adopt_crashes(&h.crashes, now);
             }
             decisions::Message::Summary { summary: s, .. } => {
                 let checks = decisions::StoreChecks::default();
-                self.adopt_store_news(&mut state, &s.store, &checks, false, now);
+                self.adopt_store_progress(&mut state, &s.store, &checks, false, now);
                 self.adopt_shared_state(&mut state, &s.blocks, &s.shares, now);
                 state.adopt_signals(&s.limits, &s.leaving, now);
                 state.adopt_crashes(&s.crashes, now);
             }
-            decisions::Message::StoreNews { progress, checks } => {
-                self.adopt_store_news(&mut state, progress, checks, false, now);
+            decisions::Message::StoreReport { progress, checks } => {
+                self.adopt_store_progress(&mut state, progress, checks, false, now);
             }
             decisions::Message::Introduction(_) | decisions::Message::Contacts(_) => {}
         }
@@ -105,8 +105,8 @@
         state.members.receive(message, now)
     }
 
-    /// Takes over how far another host has seen the store come.
-    fn adopt_store_news(
+    /// Takes over how far the store has come, as another host reports it.
+    fn adopt_store_progress(
         &self,
         state: &mut state::State,
         progress: &decisions::StoreProgress,
--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -308,7 +308,11 @@
         match followed {
             Followed::Read(read) => return Ok(read),
             Followed::HistoryGone => return Err(StoreError::HistoryGone),
-            Followed::StoreFailed if !self.state.may_serve(self.kind, interval, self.last_call) => {
+            Followed::StoreFailed
+                if !self
+                    .state
+                    .may_call_store(self.kind, interval, self.last_call) =>
+            {
                 let reason = "the hosts that are followed can't reach it";
                 return Err(StoreError::Unavailable(reason.to_string()));
             }
@@ -396,7 +400,7 @@
                 self.may_have_more = batch.may_be_cut && !is_followed && !is_one;
                 if let Some(listed) = self.listed.filter(|_| !is_followed && !batch.may_be_cut) {
                     let interval = self.options.verification_interval;
-                    self.state.record_watch(self.kind, interval, listed);
+                    self.state.record_store_answer(self.kind, interval, listed);
                 }
                 self.revision = self.revision.max(Some(batch.revision));
                 let has_changes = !batch.changes.is_empty();
--- a/crates/node/src/gateway/store_state.rs
+++ b/crates/node/src/gateway/store_state.rs
@@ -128,8 +128,9 @@
         silence
     }
 
-    /// Records that a watch of the store itself was answered, by a host that is to verify the kind.
-    pub(super) fn record_watch(
+    /// Records that the store itself has answered a watch since `listed`, the position of the last list:
+    /// this verifies the kind if that is due.
+    pub(super) fn record_store_answer(
         &self,
         kind: &str,
         interval: time::Duration,
@@ -146,8 +147,9 @@
         });
     }
 
-    /// Whether a host whose sources can't reach the store may call it itself, `since` its last call.
-    pub(super) fn may_serve(
+    /// Whether a host whose sources can't reach the store may call it itself; `since` is the time of its
+    /// last call.
+    pub(super) fn may_call_store(
         &self,
         kind: &str,
         interval: time::Duration,
@@ -155,10 +157,12 @@
     ) -> bool {
         let now = self.now();
         let last_call = since.saturating_duration_since(self.started);
-        self.view.borrow().may_serve(kind, interval, last_call, now)
+        self.view
+            .borrow()
+            .may_call_store(kind, interval, last_call, now)
     }
 
-    /// Takes over what another host tells; returns whether any of it is newer.
+    /// Takes over what another host reports; returns whether any of it is newer.
     pub fn adopt(
         &self,
         progress: &decisions::StoreProgress,
@@ -169,20 +173,20 @@
         self.view.send_if_modified(|view| {
             let is_newer = view.adopt(progress, checks, now);
             if is_newer && is_local {
-                view.mark_news();
+                view.schedule_reports();
             }
             is_newer
         })
     }
 
-    /// Whether there is something that other data centres have not been told; clears the mark.
-    pub(super) fn take_news(&self) -> bool {
-        let mut has_news = false;
+    /// Whether there is something to report to other data centres; counts as reported once.
+    pub(super) fn take_report(&self) -> bool {
+        let mut is_due = false;
         self.view.send_if_modified(|view| {
-            has_news = view.take_news();
+            is_due = view.take_report();
             false
         });
-        has_news
+        is_due
     }
 
     /// Time after which the next watch of a kind ends without changes; `None` for a long one.
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -135,7 +135,7 @@
                 members.into_iter().for_each(|member| self.learn(member));
                 None
             }
-            messages::Message::StoreNews { .. } => None,
+            messages::Message::StoreReport { .. } => None,
         }
     }
 
@@ -292,9 +292,9 @@
         store_view::VerifierRank::try_from(rank).unwrap_or(store_view::VerifierRank::MAX)
     }
 
-    /// Addresses that news of the store go to: a host of each other data centre, which passes them
-    /// on in its heartbeats; none unless this host has the smallest name of its data centre.
-    pub fn store_news_recipients(&mut self, now: model::Time) -> Vec<net::SocketAddr> {
+    /// Addresses that reports of the store go to: a host of each other data centre, whose heartbeats
+    /// then contain them; none unless this host has the smallest name of its data centre.
+    pub fn store_report_recipients(&mut self, now: model::Time) -> Vec<net::SocketAddr> {
         match self.is_summary_sender(now) {
             true => self.other_data_centre_recipients(now),
             false => Vec::new(),
--- a/crates/steering/src/gateway/messages.rs
+++ b/crates/steering/src/gateway/messages.rs
@@ -121,7 +121,7 @@
     /// Hosts of the receiver's data centre, in response to an introduction.
     Contacts(Vec<Member>),
     /// What a host of another data centre has just learned of the store.
-    StoreNews {
+    StoreReport {
         /// How far the store has come.
         progress: store_revision::StoreProgress,
         /// How old that knowledge is.
--- a/crates/steering/src/gateway/store_view.rs
+++ b/crates/steering/src/gateway/store_view.rs
@@ -1,9 +1,9 @@
 //! What a host knows of the platform's store, and when that was last known to be all.
 //!
-//! The absence of news is no evidence that nothing has changed: a connection may be silent.  One
-//! host therefore verifies each kind at short intervals, by a watch that ends soon, and the hosts
-//! tell each other how long ago that was.  The others keep long watches, and give them up when they
-//! lack a change or when the verification is overdue.
+//! A watch without an answer does not show that nothing has changed: its connection may be silent.
+//! One host therefore verifies each kind at short intervals, by a watch that ends soon, and the hosts
+//! report to each other how long ago that was.  The others keep long watches, and abandon them when
+//! they lack a change or when the verification is overdue.
 
 use std::{collections, time};
 
@@ -27,13 +27,13 @@
 /// Age of a verification at which any host verifies the kind.
 const MAX_AGE: time::Duration = time::Duration::from_secs(5);
 
-/// How often news are sent to each other data centre; a datagram may be lost.
-const NEWS_REPEATS: u8 = 2;
+/// Number of reports of a change to each other data centre; a datagram may be lost.
+const REPORTS_PER_CHANGE: u8 = 2;
 
 /// Place of a host in the order in which hosts verify; the one at 0 does it regularly.
 pub type VerifierRank = u32;
 
-/// What a host tells others of its knowledge, in the era that the message names.
+/// How old the knowledge of a host is, and what it has read, in the era that the message names.
 #[serde_as]
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StoreChecks {
@@ -54,8 +54,8 @@
     answered: collections::BTreeMap<String, model::Time>,
     /// Position of the newest change that this host has read, by kind.
     read: collections::BTreeMap<String, store_revision::StoreRevision>,
-    /// How many more times other data centres are told what was learned last.
-    news_left: u8,
+    /// Number of reports to other data centres that are still due.
+    reports_left: u8,
 }
 
 impl StoreView {
@@ -69,7 +69,7 @@
         let is_newer = self.progress.record_era(era);
         if is_newer {
             self.verified.clear();
-            self.mark_news();
+            self.schedule_reports();
         }
         is_newer
     }
@@ -79,7 +79,7 @@
         self.record_era(at.era);
         let is_newer = self.progress.record(kind, at);
         if is_newer {
-            self.mark_news();
+            self.schedule_reports();
         }
         is_newer
     }
@@ -104,11 +104,11 @@
         self.record(kind, listed);
         if listed.era == self.progress.era {
             self.verified.insert(kind.to_string(), now);
-            self.mark_news();
+            self.schedule_reports();
         }
     }
 
-    /// Takes over what another host tells; returns whether any change is newer than those known.
+    /// Takes over what another host reports; returns whether any change is newer than those known.
     pub fn adopt(
         &mut self,
         progress: &store_revision::StoreProgress,
@@ -127,7 +127,7 @@
         is_newer
     }
 
-    /// What to tell other hosts beside the progress.
+    /// What to report to other hosts beside the progress.
     pub fn checks(&self, now: model::Time) -> StoreChecks {
         let verified = self.verified.iter();
         let ages = verified.map(|(kind, at)| (kind.clone(), now.saturating_sub(*at)));
@@ -139,16 +139,16 @@
         }
     }
 
-    /// Whether there is something to tell other data centres; counts as told once.
-    pub fn take_news(&mut self) -> bool {
-        let has_news = self.news_left > 0;
-        self.news_left = self.news_left.saturating_sub(1);
+    /// Whether a report to other data centres is due; counts as sent.
+    pub fn take_report(&mut self) -> bool {
+        let has_news = self.reports_left > 0;
+        self.reports_left = self.reports_left.saturating_sub(1);
         has_news
     }
 
-    /// Marks what was learned from a host of the same data centre as news for the other ones.
-    pub fn mark_news(&mut self) {
-        self.news_left = NEWS_REPEATS;
+    /// Schedules reports of a change to other data centres.
+    pub fn schedule_reports(&mut self) {
+        self.reports_left = REPORTS_PER_CHANGE;
     }
 
     /// Time since a kind was verified.
@@ -193,7 +193,7 @@
 
     /// Whether a host whose sources can't reach the store may call it itself: the store is known to
     /// serve others, or nothing has been heard of it for long.
-    pub fn may_serve(
+    pub fn may_call_store(
         &self,
         kind: &str,
         interval: time::Duration,
@@ -204,8 +204,8 @@
         age.is_none_or(|age| age < interval * OVERDUE_INTERVALS) || now >= last_call + MAX_AGE
     }
 
-    /// When this host can rely on its last answer, and on what others tell, no longer and has to
-    /// verify a kind itself; `None` if it does so regularly.
+    /// Time from which neither the last answer to this host nor the verification by another one is
+    /// recent enough, so that it has to verify a kind itself; `None` if it does so regularly.
     pub fn overdue_at(
         &self,
         kind: &str,
--- a/crates/steering/tests/gateway/store_view.rs
+++ b/crates/steering/tests/gateway/store_view.rs
@@ -18,7 +18,7 @@
     StoreRevision { era: 1, revision }
 }
 
-fn told(view: &StoreView, now: Duration) -> (StoreProgress, StoreChecks) {
+fn report(view: &StoreView, now: Duration) -> (StoreProgress, StoreChecks) {
     (view.progress().clone(), view.checks(now))
 }
 
@@ -50,7 +50,7 @@
 fn the_age_of_a_verification_is_passed_on() {
     let mut first = StoreView::default();
     first.verify(KIND, at(5), ms(1000));
-    let (progress, checks) = told(&first, ms(1300));
+    let (progress, checks) = report(&first, ms(1300));
     // The clocks of two hosts have nothing in common.
     let mut second = StoreView::default();
     second.adopt(&progress, &checks, ms(77_000));
@@ -66,7 +66,7 @@
     lost.verify(KIND, at(500), ms(1000));
     let mut view = StoreView::default();
     view.record_era(2);
-    let (progress, checks) = told(&lost, ms(1000));
+    let (progress, checks) = report(&lost, ms(1000));
     view.adopt(&progress, &checks, ms(1000));
     assert_eq!(view.age(KIND, ms(1000)), None);
     lost.record_era(2);
@@ -74,11 +74,11 @@
 }
 
 #[test]
-fn news_are_told_twice() {
+fn changes_are_reported_twice() {
     let mut view = StoreView::default();
-    assert!(!view.take_news());
+    assert!(!view.take_report());
     view.record(KIND, at(3));
-    assert_eq!([(); 3].map(|()| view.take_news()), [true, true, false]);
+    assert_eq!([(); 3].map(|()| view.take_report()), [true, true, false]);
 }
 
 /// A host in a history: what it knows, and the revision up to which it has read.
@@ -149,7 +149,7 @@
                     host.read = revision;
                 }
                 Step::Tell(from, to) => {
-                    let (progress, checks) = told(&hosts[from].view, now);
+                    let (progress, checks) = report(&hosts[from].view, now);
                     hosts[to].view.adopt(&progress, &checks, now);
                 }
                 Step::Restart(host) => {
