Wait longer for the first watch after one that was given up (CONFIG)

The second watch has 1.5 s, as all calls had before; the first keeps 0.4 s, since a new connection costs little.

--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -18,7 +18,7 @@
 const WATCH_SILENCE: time::Duration = time::Duration::from_millis(400);
 
 /// The same for the first watch after an interrupted one: the store may only be slow.
-const FIRST_WATCH_SILENCE: time::Duration = time::Duration::from_millis(700);
+const FIRST_WATCH_SILENCE: time::Duration = time::Duration::from_millis(1500);
 
 /// Longest delay after a failed connection attempt; such an attempt puts no load on the store.
 const MAX_CONNECT_BACKOFF: time::Duration = time::Duration::from_millis(200);
