Don't decide on waiting requests after each of many changes (GONE)

Changes come in answers of 500, one after the other, and a host decided on all waiting requests after each change.

The periodic decision, every 20 ms, follows a change of a server now; lists, evacuations and configurations are still followed at once.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -111,6 +111,11 @@
     pub fn apply_update(&self, update: update::Update) {
         let now = self.clock.now();
         let mut state = self.lock();
+        // One of hundreds, mostly; the periodic decision follows.
+        let is_single_server = matches!(
+            update,
+            update::Update::Server(_) | update::Update::ServerRemoved(_)
+        );
         match update {
             update::Update::Policy(policy) => state.apply_policy(policy),
             update::Update::Servers(entries) => {
@@ -160,6 +165,9 @@
                 }
             }
         }
+        if is_single_server {
+            return;
+        }
         state.apply_evacuations(now);
         self.decide(&mut state, now);
     }
