Let a source read what the lists of its followers lack (calls)

The log of nine followers of mendoza has 17 lines 'list of another host is outdated' and eight lists of the store.

Cause: servers register all the while, so the newest known change was newer than what a source had read before its pause of 0.8 s, and since it is known sooner. A follower names the newest change that it knows when it asks; the source ends its pause and answers when it has read that, within the time that a list may wait anyway.

--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -217,7 +217,10 @@
                 state.record_success(permit);
                 // The host that reads the store has waited already.
                 if has_changes && !is_followed && !watcher.may_have_more {
-                    tokio::time::sleep(options.batch_delay).await;
+                    tokio::select! {
+                        () = tokio::time::sleep(options.batch_delay) => {}
+                        () = watcher.reader.copy.wanted() => {}
+                    }
                 }
             }
             // The store may end a pending watch at any time; if it ends every call, it is down.
--- a/crates/node/src/gateway/store_copy.rs
+++ b/crates/node/src/gateway/store_copy.rs
@@ -86,12 +86,15 @@
 #[derive(Debug)]
 pub struct StoreCopy {
     state: sync::watch::Sender<State>,
+    /// Wakes the host that reads the store, for a position that another host lacks.
+    wanted: sync::Notify,
 }
 
 impl Default for StoreCopy {
     fn default() -> StoreCopy {
         StoreCopy {
             state: sync::watch::Sender::new(State::default()),
+            wanted: sync::Notify::new(),
         }
     }
 }
@@ -168,19 +171,35 @@
         });
     }
 
-    /// Waits until all objects are known, for `wait` at most, and returns them.
-    pub async fn list(&self, wait: time::Duration) -> Result<RawListing, CopyError> {
+    /// Waits until all objects up to a position are known, for `wait` at most, and returns those that
+    /// are known then.
+    pub async fn list(
+        &self,
+        newest: decisions::StoreRevision,
+        wait: time::Duration,
+    ) -> Result<RawListing, CopyError> {
         let mut state = self.state.subscribe();
-        let current = state.wait_for(|state| state.is_current);
-        match tokio::time::timeout(wait, current).await {
-            Ok(Ok(state)) => Ok(RawListing {
+        if state.borrow().revision < newest {
+            self.wanted.notify_one();
+        }
+        let is_complete = |state: &State| state.is_current && state.revision >= newest;
+        // After the wait the present state is the answer.
+        let _ = tokio::time::timeout(wait, state.wait_for(is_complete)).await;
+        let state = state.borrow();
+        match state.is_current {
+            true => Ok(RawListing {
                 objects: state.objects.values().cloned().collect(),
                 revision: state.revision,
             }),
-            _ => Err(CopyError::NotCurrent),
+            false => Err(CopyError::NotCurrent),
         }
     }
 
+    /// Waits until another host lacks a position that this copy has not reached.
+    pub(super) async fn wanted(&self) {
+        self.wanted.notified().await;
+    }
+
     /// Waits for changes since a position, for `wait` at most, and returns them.  A wait without
     /// changes ends with the newest position.
     pub async fn watch(
--- a/crates/node/tests/gateway_store_copy.rs
+++ b/crates/node/tests/gateway_store_copy.rs
@@ -7,6 +7,10 @@
 use yuccatide_steering::gateway::StoreRevision;
 
 const NO_WAIT: Duration = Duration::ZERO;
+const ANY: StoreRevision = StoreRevision {
+    era: 0,
+    revision: 0,
+};
 const LONG_WAIT: Duration = Duration::from_secs(20);
 
 /// Position in the first era of the store.
@@ -41,7 +45,7 @@
 async fn a_list_contains_later_changes() {
     let copy = listed();
     copy.apply(vec![set("a", "3", 11), deleted("b", 12)], at(12), true);
-    let listing = copy.list(NO_WAIT).await.unwrap();
+    let listing = copy.list(ANY, NO_WAIT).await.unwrap();
     assert_eq!(
         (listing.objects, listing.revision),
         (vec!["3".into()], at(12))
@@ -95,7 +99,7 @@
     time::sleep(Duration::from_secs(1)).await;
     copy.set_not_current();
     assert_eq!(watch.await.unwrap(), Err(CopyError::NotCurrent));
-    assert_eq!(copy.list(NO_WAIT).await, Err(CopyError::NotCurrent));
+    assert_eq!(copy.list(ANY, NO_WAIT).await, Err(CopyError::NotCurrent));
 }
 
 /// Otherwise two hosts could follow each other and nobody would read the store.
@@ -103,7 +107,7 @@
 async fn what_was_read_from_another_host_is_not_passed_on() {
     let copy = StoreCopy::default();
     copy.replace(vec![("a".into(), "1".into())], at(10), false);
-    assert_eq!(copy.list(NO_WAIT).await, Err(CopyError::NotCurrent));
+    assert_eq!(copy.list(ANY, NO_WAIT).await, Err(CopyError::NotCurrent));
     copy.apply(vec![set("a", "2", 11)], at(11), false);
     assert_eq!(
         copy.watch(at(10), LONG_WAIT).await,
@@ -111,14 +115,14 @@
     );
     // Its first call to the store makes it a source.
     copy.apply(Vec::new(), at(11), true);
-    assert_eq!(copy.list(NO_WAIT).await.unwrap().objects, ["2"]);
+    assert_eq!(copy.list(ANY, NO_WAIT).await.unwrap().objects, ["2"]);
 }
 
 #[tokio::test(start_paused = true)]
 async fn a_list_waits_for_the_first_read_of_the_store() {
     let copy = sync::Arc::new(StoreCopy::default());
     let lister = sync::Arc::clone(&copy);
-    let list = tokio::spawn(async move { lister.list(Duration::from_secs(2)).await });
+    let list = tokio::spawn(async move { lister.list(ANY, Duration::from_secs(2)).await });
     time::sleep(Duration::from_secs(1)).await;
     copy.replace(vec![("a".into(), "1".into())], at(10), true);
     assert_eq!(list.await.unwrap().unwrap().objects, ["1"]);
@@ -166,7 +170,7 @@
         copy.watch(at(50), NO_WAIT).await,
         Err(CopyError::HistoryGone)
     );
-    assert_eq!(copy.list(NO_WAIT).await.unwrap().revision, restored);
+    assert_eq!(copy.list(ANY, NO_WAIT).await.unwrap().revision, restored);
     assert_eq!(copy.watch(restored, NO_WAIT).await.unwrap().changes, []);
 }
 
@@ -207,3 +211,24 @@
         1
     );
 }
+
+/// Guards against hosts that list the store themselves, since the copy of their source lacks a change
+/// that it will have read a moment later.
+#[tokio::test(start_paused = true)]
+async fn a_list_waits_for_the_newest_change_that_is_known() {
+    let copy = sync::Arc::new(listed());
+    let lister = sync::Arc::clone(&copy);
+    let list = tokio::spawn(async move { lister.list(at(11), Duration::from_secs(2)).await });
+    time::sleep(Duration::from_millis(200)).await;
+    assert!(!list.is_finished());
+    copy.apply(vec![set("a", "3", 11)], at(11), true);
+    assert_eq!(list.await.unwrap().unwrap().revision, at(11));
+    // The present state is returned in the end; who asks decides whether to use it.
+    assert_eq!(
+        copy.list(at(12), Duration::from_secs(1))
+            .await
+            .unwrap()
+            .revision,
+        at(11)
+    );
+}
