--- a/crates/soak/src/cases.rs
+++ b/crates/soak/src/cases.rs
@@ -1,7 +1,7 @@
 //! Seeds that failed once, each with its cause.  All are played with the default sizes.
 
 /// Seed and the cause of its failure.
-pub const CASES: [(u64, &str); 9] = [
+pub const CASES: [(u64, &str); 11] = [
     (106, "a watch on a silenced connection waited for 20 s"),
     (113, "a watch on a silenced connection waited for 20 s"),
     (
@@ -23,4 +23,12 @@
     ),
     (20_261_209, "the same"),
     (20_261_210, "the same"),
+    (
+        37_002,
+        "watches of all hosts waited on connections that went silent at once",
+    ),
+    (
+        20_261_340,
+        "the soak itself: two listeners of a host were given one port",
+    ),
 ];
