Add the types of customers, quotas and memory for clients

Cause: the deployments with customers need types that several parts share: keys and rank of a customer, its quota, whose requests a route takes without a key, how long work takes at a backend server now, and the memory that a host may hold for clients.

Change: the types and their places in the configuration, in requests and in settings; nothing decodes or uses them yet.

Result: the workspace compiles; no behaviour changes.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -156,6 +156,7 @@
         deadline: now + requested_timeout.min(route.timeout),
         is_client_retry,
         tried_servers: Vec::new(),
+        customer: None,
         route,
     };
     Ok(ClientRequest { head, id, req })
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -7,7 +7,7 @@
 use yuccatide_steering::{gateway as decisions, matching, model};
 
 use super::{
-    connection_pool, demand, header_names, log_limit, metrics, report, settings, state,
+    connection_pool, demand, header_names, log_limit, memory, metrics, report, settings, state,
     status_check, store_state, update,
 };
 use crate::clock;
@@ -37,6 +37,8 @@
     pub(super) clock: clock::Clock,
     pub(super) connection_pool: connection_pool::ConnectionPool,
     log_limiter: log_limit::LogLimiter,
+    /// Memory for what clients send and for answers that they have not read.
+    pub(super) memory: sync::Arc<memory::MemoryBudget>,
     /// Availability and newest known revisions of the platform's store.
     pub store_state: store_state::StoreState,
     /// Counters, histograms and gauges.
@@ -90,6 +92,7 @@
             clock,
             connection_pool: connection_pool::ConnectionPool::default(),
             log_limiter: log_limit::LogLimiter::default(),
+            memory: sync::Arc::new(memory::MemoryBudget::new(settings.client_memory)),
             store_state: store_state::StoreState::default(),
             metrics: metrics::Metrics::new(),
             own_data_centre,
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -23,6 +23,7 @@
 mod header_names;
 mod list_watch;
 mod log_limit;
+mod memory;
 mod metrics;
 mod report;
 mod response;
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -23,4 +23,6 @@
     pub retry: decisions::RetryLimits,
     /// Share of a region's callers that may move to another region within 2 s.
     pub max_shift: f64,
+    /// Bytes that the host may hold for all clients together.
+    pub client_memory: usize,
 }
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -502,7 +502,7 @@
                     let retry_after = match choice.is_some_and(|choice| choice.is_paused) {
                         true => admission::order_of_return(
                             retry_after,
-                            waiting.req.route.rank,
+                            waiting.req.rank(),
                             waiting.ticket,
                         ),
                         false => retry_after,
@@ -541,7 +541,7 @@
         admission::Priority {
             is_not_starved: !self.is_starved(req),
             is_late: completion > req.objective(),
-            rank: req.route.rank,
+            rank: req.rank(),
             is_first_request: !req.is_client_retry,
             arrived: req.arrived,
         }
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -73,7 +73,7 @@
         cx.regions
             .iter()
             .filter(|(data_centre, region)| tier(data_centre, region) == wanted)
-            .filter(|(_, region)| req.route.allows(region))
+            .filter(|(_, region)| req.allows(region))
             .flat_map(|(data_centre, _)| cx.servers.servers_in(&req.service, data_centre))
             .filter(|index| !req.tried_servers.contains(index))
             .filter_map(|index| Some((*index, cx.servers.get(*index)?)))
@@ -104,7 +104,7 @@
 ) -> bool {
     cx.regions
         .iter()
-        .filter(|(_, region)| req.route.allows(region))
+        .filter(|(_, region)| req.allows(region))
         .flat_map(|(data_centre, _)| cx.servers.servers_in(&req.service, data_centre))
         .filter(|index| !req.tried_servers.contains(index))
         .filter_map(|index| cx.servers.get(*index))
--- a/crates/steering/src/gateway/policy.rs
+++ b/crates/steering/src/gateway/policy.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model;
+use crate::{customers, model};
 
 /// One complete version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -15,6 +15,8 @@
     pub routes: Vec<Route>,
     /// Services by name.
     pub services: collections::BTreeMap<model::ServiceId, Service>,
+    /// Customers; without any, requests carry no keys.
+    pub customers: Vec<customers::Customer>,
     /// Bounds on what a client may send.
     pub limits: ClientLimits,
 }
@@ -45,6 +47,8 @@
     pub has_affinity: bool,
     /// Regions that may serve the requests; empty if all may.
     pub regions: Vec<model::RegionId>,
+    /// Whether requests need no key of a customer.
+    pub is_public: bool,
 }
 
 /// A service's share of a route's requests.
--- a/crates/steering/src/gateway/request.rs
+++ b/crates/steering/src/gateway/request.rs
@@ -3,7 +3,7 @@
 use std::sync;
 
 use super::{policy, server_set};
-use crate::model;
+use crate::{customers, model};
 
 /// Recognises a request that is sent again; equal for all its attempts, on all hosts.
 pub type Fingerprint = u128;
@@ -13,6 +13,8 @@
 pub struct Request {
     /// Route that was selected for it.
     pub route: sync::Arc<policy::Route>,
+    /// Customer whose key it carries; `None` on a public route, and without customers.
+    pub customer: Option<sync::Arc<customers::Customer>>,
     /// Service that serves it.
     pub service: model::ServiceId,
     /// Hash of the object that it refers to, if any.
@@ -32,4 +34,18 @@
     pub fn objective(&self) -> model::Time {
         self.arrived + self.route.objective
     }
+
+    /// Priority class; that of the customer goes before that of the route.
+    pub fn rank(&self) -> u32 {
+        let customer = self.customer.as_ref();
+        customer
+            .and_then(|customer| customer.rank)
+            .unwrap_or(self.route.rank)
+    }
+
+    /// Whether backend servers in a region may serve it: both route and customer must allow that.
+    pub fn allows(&self, region: &str) -> bool {
+        let customer = self.customer.as_ref();
+        self.route.allows(region) && customer.is_none_or(|customer| customer.allows(region))
+    }
 }
--- a/crates/steering/src/gateway/signals.rs
+++ b/crates/steering/src/gateway/signals.rs
@@ -7,6 +7,8 @@
 pub struct ServerSignals {
     /// Requests that it has, running and waiting.
     pub load: Option<u32>,
+    /// How long work takes on its machine now, relative to the usual time.
+    pub slowdown: Option<f64>,
     /// Requests per second that it takes from all hosts together; `None` without such a limit.
     pub limit: Option<f64>,
     /// Whether it leaves and should get no more requests.
--- a/crates/steering/src/model/ids.rs
+++ b/crates/steering/src/model/ids.rs
@@ -2,6 +2,9 @@
 
 use std::time;
 
+/// Name of a customer, unique within a deployment.
+pub type CustomerId = String;
+
 /// Name of a data centre, unique within a deployment.
 pub type DataCentreId = String;
 
--- a/crates/steering/src/model/mod.rs
+++ b/crates/steering/src/model/mod.rs
@@ -7,8 +7,8 @@
 mod request;
 
 pub use ids::{
-    DataCentreId, HostId, Incarnation, RegionId, RequestId, ServerId, ServiceId, SiteId, TeamId,
-    Time, Version, WorkId,
+    CustomerId, DataCentreId, HostId, Incarnation, RegionId, RequestId, ServerId, ServiceId,
+    SiteId, TeamId, Time, Version, WorkId,
 };
 pub use key::{IdempotencyKey, KeyError, KeyPrefix, Process};
 pub use outcome::{NotRunReason, Outcome};
--- a/crates/steering/tests/gateway/fixtures.rs
+++ b/crates/steering/tests/gateway/fixtures.rs
@@ -34,6 +34,7 @@
         }],
         has_affinity: true,
         regions: Vec::new(),
+        is_public: false,
     }
 }
 
@@ -42,6 +43,7 @@
         version,
         routes,
         services: [("log".to_string(), service())].into(),
+        customers: Vec::new(),
         limits: gateway::ClientLimits::default(),
     }
 }
@@ -109,6 +111,7 @@
         deadline: now + route.timeout,
         is_client_retry: false,
         tried_servers: Vec::new(),
+        customer: None,
         route: sync::Arc::new(route),
     }
 }
--- a/crates/steering/tests/gateway/leaving.rs
+++ b/crates/steering/tests/gateway/leaving.rs
@@ -6,6 +6,7 @@
 
 const LEAVES: ServerSignals = ServerSignals {
     load: None,
+    slowdown: None,
     limit: None,
     is_leaving: true,
     pause: None,
