Admit requests by the keys of customers

Cause: a configuration with customers was read without them. Keys went on to backend servers, no request named its customer, unknown keys were served, and a customer's rank and regions bound nothing.

Change: decode the customers and public routes; a version in which two customers share a key is invalid as a whole. A route that isn't public needs one known key, else 401 before the body is read. The key never goes on, and the customer's header is ours whatever the client sent. Routes and customers switch in one step. Demand is told by the regions that both route and customer allow. A line with the reason and metrics by customer and reason. RouteTable::apply returns a Result now; its tests unwrap it and check the same.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -241,6 +241,10 @@
     let left = header::HeaderValue::from(left.as_millis().max(1) as u64);
     req.headers_mut()
         .insert(gateway.header_names.deadline.clone(), left);
+    if let Some(name) = &client_req.customer_name {
+        req.headers_mut()
+            .insert(gateway.header_names.customer.clone(), name.clone());
+    }
     match header::HeaderValue::from_str(&entry.id) {
         Ok(id) => {
             req.headers_mut()
--- a/crates/node/src/gateway/demand.rs
+++ b/crates/node/src/gateway/demand.rs
@@ -64,12 +64,12 @@
             .collect()
     }
 
-    /// Records a request with the expected service time `work`. A client of an unknown block counts
-    /// for `own_data_centre`.
+    /// Records a request with the expected service time `work` that these regions may serve. A
+    /// client of an unknown block counts for `own_data_centre`.
     pub(super) fn record_request(
         &mut self,
         service: &str,
-        route: &gateway::Route,
+        regions: Vec<model::RegionId>,
         work: time::Duration,
         caller: net::IpAddr,
         own_data_centre: &str,
@@ -78,11 +78,7 @@
             .blocks
             .get(&client_block(caller))
             .map_or(own_data_centre, String::as_str);
-        let key = (
-            service.to_string(),
-            data_centre.to_string(),
-            route.regions.clone(),
-        );
+        let key = (service.to_string(), data_centre.to_string(), regions);
         *self.interval_work.entry(key).or_default() += work.as_secs_f64();
     }
 
--- a/crates/node/src/gateway/fingerprint.rs
+++ b/crates/node/src/gateway/fingerprint.rs
@@ -9,11 +9,12 @@
 use super::body;
 
 /// Fingerprint of a request: equal for requests with the same method, host, path, query, credentials,
-/// object and body, whatever their ids and the addresses that they come from.  Of a body that is not
+/// customer, object and body, whatever their ids and the addresses that they come from.  Of a body that is not
 /// buffered only the start is known.  Callers choose what is hashed, so the hash is a cryptographic
 /// one.
 pub(super) fn fingerprint(
     head: &request::Parts,
+    customer: Option<&str>,
     object: Option<&str>,
     body: &[u8],
 ) -> decisions::Fingerprint {
@@ -32,7 +33,8 @@
         &body[..body.len().min(body::MAX_BUFFERED_BYTES)],
     ];
     let mut hash = sha2::Sha256::new();
-    for part in parts {
+    let customer = customer.map(str::as_bytes);
+    for part in parts.into_iter().chain(customer) {
         // Lengths keep neighbouring parts apart.
         hash.update((part.len() as u64).to_le_bytes());
         hash.update(part);
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3;
 use yuccatide_steering::gateway as decisions;
 
-use super::{attempt, body, error, fingerprint, gateway, response};
+use super::{attempt, authentication, body, error, fingerprint, gateway, response};
 
 /// Retry-After of a refusal if no estimate of free capacity is available.
 const DEFAULT_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
@@ -16,6 +16,8 @@
 pub(super) struct ClientRequest {
     pub(super) head: http::request::Parts,
     pub(super) id: String,
+    /// Name of the customer, as backend servers get it.
+    pub(super) customer_name: Option<header::HeaderValue>,
     pub(super) req: decisions::Request,
 }
 
@@ -63,17 +65,24 @@
 ) -> response::Response {
     let start = time::Instant::now();
     let (head, incoming) = req.into_parts();
-    let (route, mut response) = match prepare(&gateway, head, client) {
+    let (route, customer, mut response) = match prepare(&gateway, head, client) {
         Ok(client_req) => {
-            let route = client_req.req.route.clone();
+            let (route, customer) = (
+                client_req.req.route.clone(),
+                client_req.req.customer.clone(),
+            );
             (
                 route.name.clone(),
+                customer,
                 serve_before_deadline(&gateway, client_req, incoming).await,
             )
         }
-        Err(response) => (String::new(), *response),
+        Err(response) => (String::new(), None, *response),
     };
     let result = result_label(&gateway, &response);
+    if let Some(customer) = &customer {
+        gateway.metrics.record_customer(&customer.name, result);
+    }
     gateway
         .metrics
         .record_request(&route, result, start.elapsed());
@@ -103,10 +112,10 @@
     }
 }
 
-/// Finds the route of a request and checks its head against the limits.
+/// Finds the route and the customer of a request and checks its head against the limits.
 fn prepare(
     gateway: &gateway::Gateway,
-    head: http::request::Parts,
+    mut head: http::request::Parts,
     client: net::IpAddr,
 ) -> Result<ClientRequest, Box<response::Response>> {
     let now = gateway.clock.now();
@@ -120,7 +129,8 @@
             "no Host header",
         )));
     };
-    let route = match gateway.find_route(host_name, head.uri.path()) {
+    let (route_match, customers) = gateway.find_route(host_name, head.uri.path());
+    let route = match route_match {
         decisions::RouteMatch::Route(route) => route,
         decisions::RouteMatch::NoRoute => {
             return Err(Box::new(response::text(
@@ -138,15 +148,23 @@
     };
     check_limits(&gateway.client_limits(), &head)
         .map_err(|code| Box::new(response::text(code, "too large")))?;
+    let names = &gateway.header_names;
+    let identity = match customers {
+        Some(customers) => {
+            authentication::authenticate(names, &customers, &route, &mut head.headers)
+                .map_err(|denial| Box::new(authentication::deny(gateway, &head, &route, denial)))?
+        }
+        None => authentication::Identity::default(),
+    };
     let text = |name: &header::HeaderName| head.headers.get(name).and_then(|v| v.to_str().ok());
-    let id = text(&gateway.header_names.request_id)
-        .unwrap_or_default()
-        .to_string();
-    let requested_timeout = text(&gateway.header_names.deadline)
+    let id = text(&names.request_id).unwrap_or_default().to_string();
+    let requested_timeout = text(&names.deadline)
         .and_then(|text| text.trim().parse().ok())
         .map_or(route.timeout, time::Duration::from_millis);
-    let object = gateway.header_names.object_name(&head.headers);
-    let (service, is_client_retry) = gateway.assign_service(&route, client, requested_timeout);
+    let object = names.object_name(&head.headers);
+    let customer = identity.customer;
+    let (service, is_client_retry) =
+        gateway.assign_service(&route, customer.as_deref(), client, requested_timeout);
     let req = decisions::Request {
         service,
         object_hash: object
@@ -156,10 +174,15 @@
         deadline: now + requested_timeout.min(route.timeout),
         is_client_retry,
         tried_servers: Vec::new(),
-        customer: None,
+        customer,
         route,
     };
-    Ok(ClientRequest { head, id, req })
+    Ok(ClientRequest {
+        head,
+        id,
+        customer_name: identity.name,
+        req,
+    })
 }
 
 /// Hash of an object's name. Equal names on different routes yield different keys.
@@ -268,7 +291,9 @@
     };
     let is_body_buffered = rest.is_none();
     let object = gateway.header_names.object_name(&client_req.head.headers);
-    let fingerprint = fingerprint::fingerprint(&client_req.head, object, &bytes);
+    let customer = client_req.req.customer.as_ref();
+    let customer = customer.map(|customer| customer.name.as_str());
+    let fingerprint = fingerprint::fingerprint(&client_req.head, customer, object, &bytes);
     loop {
         if let Some((reason, retry_after)) = why_not_sent(gateway, &client_req, fingerprint) {
             return give_up(gateway, &client_req, progress, reason, retry_after);
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 use tokio_util::sync as tokio_sync;
-use yuccatide_steering::{gateway as decisions, matching, model};
+use yuccatide_steering::{customers, gateway as decisions, matching, model};
 
 use super::{
     connection_pool, demand, header_names, log_limit, memory, metrics, report, settings, state,
@@ -324,9 +324,18 @@
         self.settings.is_first_start && age < 2 * FIRST_START_TIME
     }
 
-    /// Route of a request, by HTTP host name and path.
-    pub(super) fn find_route(&self, host_name: &str, path: &str) -> decisions::RouteMatch {
-        self.lock().route_table.find(host_name, path)
+    /// Route of a request, by HTTP host name and path, and the customers of the same version, if it
+    /// has any.
+    pub(super) fn find_route(
+        &self,
+        host_name: &str,
+        path: &str,
+    ) -> (
+        decisions::RouteMatch,
+        Option<sync::Arc<customers::CustomerTable>>,
+    ) {
+        let table = &self.lock().route_table;
+        (table.find(host_name, path), table.customers().cloned())
     }
 
     /// Bounds on the requests of clients.
@@ -339,6 +348,7 @@
     pub(super) fn assign_service(
         &self,
         route: &decisions::Route,
+        customer: Option<&customers::Customer>,
         caller: net::IpAddr,
         requested_timeout: time::Duration,
     ) -> (model::ServiceId, bool) {
@@ -346,9 +356,12 @@
         let mut state = self.lock();
         let service = state.traffic_splitter.next_service(route);
         let work = state.dispatcher.cached_service_time(route);
-        state
-            .demand
-            .record_request(&service, route, work, caller, &self.own_data_centre);
+        // What no region may serve is no demand for any.
+        if let Some(regions) = route.regions_for(customer) {
+            state
+                .demand
+                .record_request(&service, regions, work, caller, &self.own_data_centre);
+        }
         state.dispatcher.record_first_attempt(&service, now);
         let is_client_retry = state
             .client_retries
--- a/crates/node/src/gateway/header_names.rs
+++ b/crates/node/src/gateway/header_names.rs
@@ -26,6 +26,12 @@
         fn(http::StatusCode, &header::HeaderMap, time::SystemTime) -> gateway::ServerSignals,
     /// Present if the backend server has not run the request.
     pub not_run: header::HeaderName,
+    /// Key of the customer that sends a request; never sent on where there are customers.
+    pub key: header::HeaderName,
+    /// Name of the customer, for the backend server.
+    pub customer: header::HeaderName,
+    /// Value of `WWW-Authenticate` where no customer holds the key.
+    pub challenge: header::HeaderValue,
 }
 
 impl HeaderNames {
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -12,8 +12,11 @@
 /// Routes with a time series of their own; further ones share one.
 const MAX_ROUTE_LABELS: usize = 64;
 
-/// Label of the series that further routes share.
-const OTHER_ROUTES: &str = "other";
+/// Customers with a time series of their own; further ones share one.
+const MAX_CUSTOMER_LABELS: usize = 128;
+
+/// Label of the series that further routes share, and of that which further customers share.
+const OTHERS: &str = "other";
 
 /// Upper bounds of the latency buckets, from a hop within a data centre to the longest time that a
 /// client waits.
@@ -29,6 +32,12 @@
     result: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CustomerLabels {
+    customer: String,
+    result: &'static str,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RouteLabels {
     route: String,
@@ -65,6 +74,9 @@
 pub struct Metrics {
     registry: registry::Registry,
     routes: sync::Mutex<collections::HashSet<String>>,
+    customers: sync::Mutex<collections::HashSet<String>>,
+    customer_requests: family::Family<CustomerLabels, counter::Counter>,
+    denied: family::Family<ReasonLabels, counter::Counter>,
     requests: family::Family<RequestLabels, counter::Counter>,
     latency: Latency,
     refusals: family::Family<ReasonLabels, counter::Counter>,
@@ -98,6 +110,9 @@
         let mut metrics = Metrics {
             registry: registry::Registry::with_prefix("yuccatide"),
             routes: sync::Mutex::default(),
+            customers: sync::Mutex::default(),
+            customer_requests: family::Family::default(),
+            denied: family::Family::default(),
             requests: family::Family::default(),
             latency: family::Family::new_with_constructor(new_histogram),
             refusals: family::Family::default(),
@@ -144,6 +159,16 @@
             "Requests refused, by reason",
             self.refusals.clone(),
         );
+        registry.register(
+            "customer_requests",
+            "Requests by customer and result",
+            self.customer_requests.clone(),
+        );
+        registry.register(
+            "denied",
+            "Requests denied for their key, by reason",
+            self.denied.clone(),
+        );
         registry.register(
             "sendings",
             "Sendings to backend servers, by outcome",
@@ -259,7 +284,7 @@
         result: &'static str,
         duration: time::Duration,
     ) {
-        let route = self.route_label(route);
+        let route = label(&self.routes, MAX_ROUTE_LABELS, route);
         if result == "answered" {
             let labels = RouteLabels {
                 route: route.clone(),
@@ -281,6 +306,19 @@
         self.refusals.get_or_create(&labels).inc();
     }
 
+    /// Records a completed request of a customer.
+    pub(super) fn record_customer(&self, customer: &str, result: &'static str) {
+        let customer = label(&self.customers, MAX_CUSTOMER_LABELS, customer);
+        self.customer_requests
+            .get_or_create(&CustomerLabels { customer, result })
+            .inc();
+    }
+
+    /// Records a request denied for its key.
+    pub(super) fn record_denial(&self, reason: &'static str) {
+        self.denied.get_or_create(&ReasonLabels { reason }).inc();
+    }
+
     /// Records a completed attempt, in the metric `sendings`.
     pub(super) fn record_attempt(&self, service: &str, outcome: decisions::Outcome) {
         let labels = AttemptLabels {
@@ -311,18 +349,16 @@
     pub(super) fn record_lookup(&self) {
         self.lookups.inc();
     }
+}
 
-    fn route_label(&self, route: &str) -> String {
-        let mut routes = self
-            .routes
-            .lock()
-            .unwrap_or_else(sync::PoisonError::into_inner);
-        if !routes.contains(route) {
-            if routes.len() >= MAX_ROUTE_LABELS {
-                return OTHER_ROUTES.to_string();
-            }
-            routes.insert(route.to_string());
+/// Label of a name that has a time series of its own, or of the series that further names share.
+fn label(known: &sync::Mutex<collections::HashSet<String>>, max: usize, name: &str) -> String {
+    let mut known = known.lock().unwrap_or_else(sync::PoisonError::into_inner);
+    if !known.contains(name) {
+        if known.len() >= max {
+            return OTHERS.to_string();
         }
-        route.to_string()
+        known.insert(name.to_string());
     }
+    name.to_string()
 }
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod activity;
 mod activity_mark;
 mod attempt;
+mod authentication;
 mod body;
 mod connection_pool;
 mod demand;
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -68,9 +68,16 @@
 
     pub(super) fn apply_policy(&mut self, policy: decisions::Policy) {
         let version = policy.version;
-        if !self.route_table.apply(policy) {
-            log::debug!(version; "ignored an older configuration");
-            return;
+        match self.route_table.apply(policy) {
+            Ok(true) => {}
+            Ok(false) => {
+                log::debug!(version; "ignored an older configuration");
+                return;
+            }
+            Err(e) => {
+                log::warn!(version, error:% = e; "invalid configuration; keeping the last one");
+                return;
+            }
         }
         if let Some(policy) = self.route_table.policy() {
             self.traffic_splitter.retain(policy);
--- a/crates/steering/src/gateway/policy.rs
+++ b/crates/steering/src/gateway/policy.rs
@@ -16,6 +16,7 @@
     /// Services by name.
     pub services: collections::BTreeMap<model::ServiceId, Service>,
     /// Customers; without any, requests carry no keys.
+    #[serde(default)]
     pub customers: Vec<customers::Customer>,
     /// Bounds on what a client may send.
     pub limits: ClientLimits,
@@ -48,6 +49,7 @@
     /// Regions that may serve the requests; empty if all may.
     pub regions: Vec<model::RegionId>,
     /// Whether requests need no key of a customer.
+    #[serde(default)]
     pub is_public: bool,
 }
 
@@ -113,4 +115,18 @@
     pub fn allows(&self, region: &str) -> bool {
         self.regions.is_empty() || self.regions.iter().any(|r| r == region)
     }
+
+    /// Regions that may serve a customer's requests; empty if all may, `None` if none may.
+    pub fn regions_for(
+        &self,
+        customer: Option<&customers::Customer>,
+    ) -> Option<Vec<model::RegionId>> {
+        let others = customer.map_or(&[][..], |customer| &customer.regions);
+        if others.is_empty() {
+            return Some(self.regions.clone());
+        }
+        let allowed = others.iter().filter(|region| self.allows(region));
+        let regions: Vec<model::RegionId> = allowed.cloned().collect();
+        (!regions.is_empty()).then_some(regions)
+    }
 }
--- a/crates/steering/src/gateway/route_table.rs
+++ b/crates/steering/src/gateway/route_table.rs
@@ -1,16 +1,17 @@
-//! Route selection by host name and path prefix.
+//! Route selection by host name and path prefix, and the customers of the same version.
 
 use std::{collections, sync};
 
 use super::policy;
-use crate::model;
+use crate::{customers, model};
 
-/// Routes of the active configuration.
+/// Routes and customers of the active configuration.
 #[derive(Debug, Default)]
 pub struct RouteTable {
     policy: Option<policy::Policy>,
     /// Routes of each host name, the longest prefix first.
     hosts: collections::HashMap<String, Vec<sync::Arc<policy::Route>>>,
+    customers: Option<sync::Arc<customers::CustomerTable>>,
 }
 
 /// Result of a route selection.
@@ -26,14 +27,16 @@
 
 impl RouteTable {
     /// Activates a configuration if its version is newer than the active one; returns whether it
-    /// was activated.
-    pub fn apply(&mut self, policy: policy::Policy) -> bool {
+    /// was activated.  One with an invalid part is not activated at all.
+    pub fn apply(&mut self, policy: policy::Policy) -> Result<bool, customers::DuplicateKey> {
         if self
             .version()
             .is_some_and(|version| policy.version <= version)
         {
-            return false;
+            return Ok(false);
         }
+        let customers = customers::CustomerTable::new(&policy.customers)?;
+        self.customers = (!policy.customers.is_empty()).then(|| sync::Arc::new(customers));
         self.hosts.clear();
         for route in &policy.routes {
             let routes = self.hosts.entry(route.host.to_lowercase()).or_default();
@@ -43,7 +46,7 @@
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
         self.policy = Some(policy);
-        true
+        Ok(true)
     }
 
     /// Selects the route with the longest matching path prefix; `host` may include a port.
@@ -69,6 +72,11 @@
         routes.map_or(&[], Vec::as_slice)
     }
 
+    /// Customers of the active configuration; `None` if it has none, so that requests carry no keys.
+    pub fn customers(&self) -> Option<&sync::Arc<customers::CustomerTable>> {
+        self.customers.as_ref()
+    }
+
     /// Host names that have routes, in lower case.
     pub fn host_names(&self) -> Vec<String> {
         self.hosts.keys().cloned().collect()
--- a/crates/steering/tests/gateway/routes.rs
+++ b/crates/steering/tests/gateway/routes.rs
@@ -16,7 +16,7 @@
 fn table() -> gateway::RouteTable {
     let mut table = gateway::RouteTable::default();
     let routes = vec![with_prefix("short", "/a/"), with_prefix("long", "/a/b/")];
-    assert!(table.apply(fixtures::policy(4, routes)));
+    assert!(table.apply(fixtures::policy(4, routes)).unwrap());
     table
 }
 
@@ -55,7 +55,7 @@
 #[case(4)]
 fn version_is_not_replaced_by_the_same_or_an_older_one(#[case] version: u64) {
     let mut table = table();
-    assert!(!table.apply(fixtures::policy(version, Vec::new())));
+    assert!(!table.apply(fixtures::policy(version, Vec::new())).unwrap());
     assert_eq!(table.version(), Some(4));
     assert_ne!(
         table.find("shop.example", "/a/x"),
