Test customers against odd heads, odd JSON, and hosts cut off

Cause: what clients and operators write is not under our control, and a host that the store turns away must refuse a revoked key, too.

Change: property tests over the head of a request on sockets (names, cases, several values, bytes that are no text) and over the members of a customer in JSON; a key revoked on a host that the store turns away; a host that is cut off keeps its customers; regions and ranks of customers in placement and demand.

--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod cold_rate;
 mod crash_book;
+mod customers;
 mod dispatcher;
 mod evacuations;
 mod fairness;
