--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod activity;
 mod activity_mark;
 mod attempt;
+mod authentication;
 mod body;
 mod connection_pool;
 mod demand;
@@ -23,6 +24,7 @@
 mod header_names;
 mod list_watch;
 mod log_limit;
+mod memory;
 mod metrics;
 mod report;
 mod response;
--- a/crates/steering/src/gateway/policy.rs
+++ b/crates/steering/src/gateway/policy.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::model;
+use crate::{customers, model};
 
 /// One complete version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -15,6 +15,9 @@
     pub routes: Vec<Route>,
     /// Services by name.
     pub services: collections::BTreeMap<model::ServiceId, Service>,
+    /// Customers; without any, requests carry no keys.
+    #[serde(default)]
+    pub customers: Vec<customers::Customer>,
     /// Bounds on what a client may send.
     pub limits: ClientLimits,
 }
@@ -45,6 +48,9 @@
     pub has_affinity: bool,
     /// Regions that may serve the requests; empty if all may.
     pub regions: Vec<model::RegionId>,
+    /// Whether requests need no key of a customer.
+    #[serde(default)]
+    pub is_public: bool,
 }
 
 /// A service's share of a route's requests.
@@ -109,4 +115,18 @@
     pub fn allows(&self, region: &str) -> bool {
         self.regions.is_empty() || self.regions.iter().any(|r| r == region)
     }
+
+    /// Regions that may serve a customer's requests; empty if all may, `None` if none may.
+    pub fn regions_for(
+        &self,
+        customer: Option<&customers::Customer>,
+    ) -> Option<Vec<model::RegionId>> {
+        let others = customer.map_or(&[][..], |customer| &customer.regions);
+        if others.is_empty() {
+            return Some(self.regions.clone());
+        }
+        let allowed = others.iter().filter(|region| self.allows(region));
+        let regions: Vec<model::RegionId> = allowed.cloned().collect();
+        (!regions.is_empty()).then_some(regions)
+    }
 }
