Start pipelined idempotent requests before their turn

Cause: a connection was served by hyper's http1, one request after the other, so a client that sends further requests before the first is answered waited for the sum of their times.

Change: a stream in front of hyper hands it one request at a time, holds what was read behind it (16 KiB at most) and starts each complete idempotent request without a body as a task of its own; hyper still parses, orders and frames, and its service takes the answer of a request that was started. Boundaries come from httparse, hyper's own parser, with the same limits. What can't be started, and all behind it, waits for its turn; a request whose end is not known ends the reading ahead on its connection. At most 16 requests of a connection are started ahead, with the largest buffered answer reserved for each in `Gateway.memory`, of which they leave half. An end of the stream is passed on at once, so what was started is cancelled. `Connection: close` of a stop now belongs on the last answer of what is in progress; the frontend sets it instead of `forward`.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -2,6 +2,7 @@
 
 use std::{net, sync, sync::atomic, time};
 
+use bytes::Bytes;
 use http::header;
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3;
@@ -55,15 +56,16 @@
     }
 }
 
-/// Forwards a request and returns the response, which never claims that a request has not run if it may have run.
+/// Forwards a request, without body if there is no `incoming` one, and returns the response, which
+/// never claims that a request has not run if it may have run.
 pub(super) async fn forward_request(
     gateway: sync::Arc<gateway::Gateway>,
-    req: http::Request<hyper::body::Incoming>,
+    head: http::request::Parts,
+    incoming: Option<hyper::body::Incoming>,
     client: net::IpAddr,
 ) -> response::Response {
     let start = time::Instant::now();
-    let (head, incoming) = req.into_parts();
-    let (route, mut response) = match prepare(&gateway, head, client) {
+    let (route, response) = match prepare(&gateway, head, client) {
         Ok(client_req) => {
             let route = client_req.req.route.clone();
             (
@@ -77,10 +79,6 @@
     gateway
         .metrics
         .record_request(&route, result, start.elapsed());
-    if gateway.is_stopping() {
-        let close = header::HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
-    }
     response
 }
 
@@ -192,7 +190,7 @@
 async fn serve_before_deadline(
     gateway: &gateway::Gateway,
     client_req: ClientRequest,
-    incoming: hyper::body::Incoming,
+    incoming: Option<hyper::body::Incoming>,
 ) -> response::Response {
     let left = client_req.req.deadline.saturating_sub(gateway.clock.now());
     let mut progress = Progress::default();
@@ -252,10 +250,14 @@
 async fn send_with_retries(
     gateway: &gateway::Gateway,
     mut client_req: ClientRequest,
-    incoming: hyper::body::Incoming,
+    incoming: Option<hyper::body::Incoming>,
     progress: &mut Progress,
 ) -> response::Response {
-    let read = match body::read_buffered(incoming).await {
+    let read = match incoming {
+        Some(incoming) => body::read_buffered(incoming).await,
+        None => Ok(body::ReadBody::Complete(Bytes::new())),
+    };
+    let read = match read {
         Ok(read) => read,
         Err(e) => {
             log::debug!(request = client_req.id, error:% = e; "failed to read a request body");
--- a/crates/node/src/gateway/frontend.rs
+++ b/crates/node/src/gateway/frontend.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync as tokio_sync;
 
-use super::{activity, body as bodies, forward, gateway};
+use super::{activity, body as bodies, forward, gateway, pipeline};
 
 /// Delay after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(50);
@@ -87,15 +87,30 @@
     let activity = sync::Arc::new(activity::Activity::new());
     let handler_activity = sync::Arc::clone(&activity);
     let handler_gateway = sync::Arc::clone(&gateway);
+    let pipeline = sync::Arc::new(pipeline::Connection::new(
+        sync::Arc::clone(&gateway),
+        peer.ip(),
+    ));
+    let handler_pipeline = sync::Arc::clone(&pipeline);
     let service = service::service_fn(move |req: http::Request<body::Incoming>| {
         let in_progress = handler_activity.begin_request();
         let handler_gateway = sync::Arc::clone(&handler_gateway);
+        let pipeline = sync::Arc::clone(&handler_pipeline);
+        let (head, body) = req.into_parts();
+        let started = pipeline.begin_request(&head);
         async move {
-            let response = forward::forward_request(handler_gateway, req, peer.ip()).await;
+            let response = match started {
+                Some(started) => started.answer().await,
+                None => {
+                    forward::forward_request(handler_gateway, head, Some(body), peer.ip()).await
+                }
+            };
+            let response = pipeline.end_request(response);
             drop(in_progress);
             Ok::<http::Response<bodies::Body>, convert::Infallible>(response)
         }
     });
+    let stream = pipeline::PipelinedStream::new(stream, sync::Arc::clone(&pipeline));
     let connection = http1::Builder::new()
         .timer(rt::TokioTimer::new())
         .max_buf_size(
@@ -118,7 +133,9 @@
             }
             () = close.cancelled(), if !is_closing => {
                 is_closing = true;
-                connection.as_mut().graceful_shutdown();
+                if pipeline.begin_close() {
+                    connection.as_mut().graceful_shutdown();
+                }
             }
             () = tokio::time::sleep(IDLE_CHECK_INTERVAL), if !is_closing || idle_close.is_some() => {
                 let timeout = gateway.client_limits().idle_timeout;
@@ -131,7 +148,9 @@
                 if !is_closing && activity.idle_since().is_some_and(is_over) {
                     is_closing = true;
                     idle_close = Some(time::Instant::now());
-                    connection.as_mut().graceful_shutdown();
+                    if pipeline.begin_close() {
+                        connection.as_mut().graceful_shutdown();
+                    }
                 }
             }
         }
--- a/crates/node/src/gateway/memory/memory_budget.rs
+++ b/crates/node/src/gateway/memory/memory_budget.rs
@@ -37,6 +37,15 @@
         reservation.try_grow(bytes).then_some(reservation)
     }
 
+    /// Reserves a part for what can wait; `None` if less than half of the budget would be left.
+    pub(in super::super) fn try_reserve_optional(
+        self: &sync::Arc<MemoryBudget>,
+        bytes: usize,
+    ) -> Option<Reservation> {
+        let is_half_left = self.used().saturating_add(bytes) <= self.limit / 2;
+        is_half_left.then(|| self.try_reserve(bytes)).flatten()
+    }
+
     /// Bytes that are reserved.
     pub(in super::super) fn used(&self) -> usize {
         self.used.load(atomic::Ordering::Relaxed)
@@ -56,6 +65,15 @@
         }
         has_grown.is_ok()
     }
+
+    /// Returns all but `bytes` to the budget.
+    pub(in super::super) fn shrink_to(&mut self, bytes: usize) {
+        let surplus = self.bytes.saturating_sub(bytes);
+        self.bytes -= surplus;
+        self.budget
+            .used
+            .fetch_sub(surplus, atomic::Ordering::Relaxed);
+    }
 }
 
 impl Drop for Reservation {
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -88,6 +88,8 @@
     pub(super) store_era: gauge::Gauge,
     pub(super) send_delay: histogram::Histogram,
     pub(super) cold_attempts: counter::Counter,
+    pub(super) started_ahead: counter::Counter,
+    pub(super) ahead_in_progress: gauge::Gauge,
     pub(super) omitted_lines: counter::Counter,
 }
 
@@ -121,6 +123,8 @@
             evacuated_data_centres: gauge::Gauge::default(),
             store_answers: gauge::Gauge::default(),
             store_era: gauge::Gauge::default(),
+            started_ahead: counter::Counter::default(),
+            ahead_in_progress: gauge::Gauge::default(),
             omitted_lines: counter::Counter::default(),
         };
         metrics.register();
@@ -187,6 +191,16 @@
             "Backend servers without an entry, kept until they had time to register again",
             self.missing_servers.clone(),
         );
+        registry.register(
+            "started_ahead",
+            "Requests started before the earlier ones of their connection were answered",
+            self.started_ahead.clone(),
+        );
+        registry.register(
+            "ahead_in_progress",
+            "Requests in progress that were started ahead",
+            self.ahead_in_progress.clone(),
+        );
         registry.register(
             "limited_servers",
             "Backend servers that name a limit on their rate",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -25,6 +25,7 @@
 mod log_limit;
 mod memory;
 mod metrics;
+mod pipeline;
 mod report;
 mod response;
 mod settings;
@@ -45,6 +46,7 @@
     WatchLimits, WatchOptions, list_and_watch,
 };
 pub use metrics::Metrics;
+pub use pipeline::{AheadLimit, Found, Head, HeadFinder, request_parts};
 pub use settings::Settings;
 pub use store_copy::{CopyError, RawChange, RawChanges, RawListing, StoreCopy};
 pub use store_state::StoreState;
