Read the load of servers that share their machines

Cause: a load of four figures was dropped whole, so on the services whose servers share their machines the load that they tell was not used at all.

A load of three or four figures is read; a malformed fourth does not hide the other three. The fourth, how long work takes on the machine now, goes into the expected completion time and loses half of its weight every 100 ms. Durations are divided by the factor expected at the start of a request, so that slow spells don't spoil the learned speed of a server or route. Signals that can't be read are counted by kind and logged once for a service and kind.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -36,7 +36,7 @@
     pub(super) header_names: header_names::HeaderNames,
     pub(super) clock: clock::Clock,
     pub(super) connection_pool: connection_pool::ConnectionPool,
-    log_limiter: log_limit::LogLimiter,
+    pub(super) log_limiter: log_limit::LogLimiter,
     /// Memory for what clients send and for answers that they have not read.
     pub(super) memory: sync::Arc<memory::MemoryBudget>,
     /// Availability and newest known revisions of the platform's store.
@@ -382,8 +382,7 @@
         if let Some(service) = state.dispatcher.service_of(ticket) {
             self.metrics.record_attempt(service, outcome);
         }
-        let unreadable = signals.map_or(0, |signals| signals.unreadable);
-        self.metrics.unreadable_signals.inc_by(unreadable.into());
+        report::unreadable_signals(self, &state, ticket, signals);
         if let Some(signals) = signals
             && let Some((server, change)) = state.dispatcher.record_signals(ticket, signals, now)
         {
--- a/crates/node/src/gateway/log_limit.rs
+++ b/crates/node/src/gateway/log_limit.rs
@@ -11,6 +11,8 @@
 #[derive(Debug, Default)]
 pub(super) struct LogLimiter {
     kinds: sync::Mutex<collections::HashMap<&'static str, KindCount>>,
+    /// Subjects and kinds of the lines that are written once.
+    written: sync::Mutex<collections::BTreeSet<(String, &'static str)>>,
 }
 
 #[derive(Debug, Default)]
@@ -39,4 +41,13 @@
         kind.lines += 1;
         Some(std::mem::take(&mut kind.omitted))
     }
+
+    /// Whether a line of this kind about the subject has not been written yet.
+    pub(super) fn admit_once(&self, subject: &str, kind: &'static str) -> bool {
+        let mut written = self
+            .written
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        written.insert((subject.to_string(), kind))
+    }
 }
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -31,6 +31,29 @@
     }
 }
 
+/// Counts the signals in an answer that could not be read, and logs each kind once for a service.
+pub(super) fn unreadable_signals(
+    gateway: &gateway::Gateway,
+    state: &state::State,
+    ticket: decisions::Ticket,
+    signals: Option<decisions::ServerSignals>,
+) {
+    let unreadable = signals.map_or_else(Default::default, |signals| signals.unreadable);
+    let counter = &gateway.metrics.unreadable_signals;
+    counter.inc_by(unreadable.total().into());
+    let Some(service) = state.dispatcher.service_of(ticket) else {
+        return;
+    };
+    for signal in unreadable.names() {
+        if gateway.log_limiter.admit_once(service, signal) {
+            log::warn!(
+                service, signal;
+                "a signal of a backend server can't be read; counted, not said again"
+            );
+        }
+    }
+}
+
 /// Logs what became of a backend server whose entry was deleted.
 pub(super) fn removal(id: &str, removal: decisions::Removal) {
     match removal {
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -3,8 +3,8 @@
 use std::{collections, time};
 
 use super::{
-    admission, fairness, outcome, placement, policy, remote_in_flight, request, retry_budget,
-    send_shares, server, server_set, service_times, signal_book, signals,
+    admission, fairness, outcome, placement, policy, remote_in_flight, request, response_times,
+    retry_budget, send_shares, server, server_set, service_times, signal_book, signals,
 };
 use crate::model;
 
@@ -237,11 +237,12 @@
         let Some(server) = self.servers.get_mut(attempt.server) else {
             return;
         };
-        let Some(duration) = server.record_finished(ticket, outcome, warmup, now) else {
+        let Some(finished) = server.record_finished(ticket, outcome, warmup, now) else {
             return;
         };
         if outcome == outcome::Outcome::Answered {
-            record_response(&mut self.times, server, &attempt, duration, now);
+            let route = &attempt.req.route;
+            response_times::record(&mut self.times, server, route, finished, now);
         }
     }
 
@@ -280,6 +281,9 @@
         if let Some(requests) = signals.load {
             server.record_report(requests, now);
         }
+        if let Some(slowdown) = signals.slowdown {
+            server.machine_pace.record(slowdown, now);
+        }
         let (name, incarnation) = (server.name_hash, attempt.incarnation);
         let pause = signals.pause.is_some_and(|pause| server.pause(pause, now));
         let change = signals::SignalChange {
@@ -578,23 +582,3 @@
         Some(entry)
     }
 }
-
-/// Updates the estimates of the route's service time and of the backend server's relative service
-/// time from a response.
-fn record_response(
-    times: &mut service_times::ServiceTimeEstimates,
-    server: &mut server::Server,
-    attempt: &Attempt,
-    duration: time::Duration,
-    now: model::Time,
-) {
-    if server.is_cold(now) {
-        return;
-    }
-    let route = &attempt.req.route;
-    let relative_time = server.relative_service_time();
-    let is_cached = times.was_cached(route, duration, relative_time);
-    let expected = times.expected_seconds(route, is_cached);
-    server.observe(duration.as_secs_f64() / expected);
-    times.observe(&route.name, is_cached, duration, relative_time);
-}
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -4,7 +4,7 @@
 
 use xxhash_rust::xxh3;
 
-use super::{dispatcher, outcome};
+use super::{dispatcher, machine_pace, outcome};
 use crate::model;
 
 /// Number of most recently requested objects that a backend server is assumed to have cached.
@@ -77,6 +77,16 @@
     object: Option<u64>,
     started: model::Time,
     expected_seconds: f64,
+    machine_slowdown: f64,
+}
+
+/// A request that has ended.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Finished {
+    /// Time since its start.
+    pub duration: time::Duration,
+    /// Expected service time on the machine at its start, relative to the usual one.
+    pub machine_slowdown: f64,
 }
 
 /// A host's view of one backend server.
@@ -90,6 +100,8 @@
     pub(super) is_evacuated: bool,
     /// Time of its last load report, and the number of requests from other hosts in it.
     last_report: (model::Time, u32),
+    /// Pace of its machine.
+    pub(super) machine_pace: machine_pace::MachinePace,
     in_flight: Vec<InFlight>,
     relative_service_time: f64,
     failure_rate: f64,
@@ -120,6 +132,7 @@
             name_hash: name_hash(&entry.id),
             is_evacuated: false,
             last_report: (model::Time::ZERO, 0),
+            machine_pace: machine_pace::MachinePace::default(),
             entry,
             in_flight: Vec::new(),
             relative_service_time: 1.0,
@@ -226,7 +239,7 @@
     }
 
     /// Expected service time relative to a warm backend server of average speed, including the
-    /// effects of a cold start and of overdue requests.
+    /// effects of a cold start, of overdue requests and of other work on its machine.
     pub fn slowdown(&self, now: model::Time) -> f64 {
         let overdue = self
             .in_flight
@@ -243,7 +256,8 @@
         } else {
             1.0
         };
-        self.relative_service_time.max(overdue) * cold
+        let machine = self.machine_pace.slowdown(now);
+        (self.relative_service_time * machine).max(overdue) * cold
     }
 
     /// Moving average of its service times relative to the expected ones, which are those of all
@@ -272,6 +286,7 @@
             object,
             started: now,
             expected_seconds,
+            machine_slowdown: self.machine_pace.slowdown(now),
         });
         object
             .into_iter()
@@ -279,14 +294,14 @@
         self.last_sent = Some(now);
     }
 
-    /// Records the end of an attempt and returns its duration.
+    /// Records the end of an attempt and returns what is known of it.
     pub(super) fn record_finished(
         &mut self,
         ticket: dispatcher::Ticket,
         outcome: outcome::Outcome,
         warmup: time::Duration,
         now: model::Time,
-    ) -> Option<time::Duration> {
+    ) -> Option<Finished> {
         let index = self.in_flight.iter().position(|f| f.ticket == ticket)?;
         let request = self.in_flight.swap_remove(index);
         let duration = now.saturating_sub(request.started);
@@ -304,7 +319,10 @@
             | outcome::Outcome::TimedOut
             | outcome::Outcome::Cancelled => {}
         }
-        Some(duration)
+        Some(Finished {
+            duration,
+            machine_slowdown: request.machine_slowdown,
+        })
     }
 
     /// Records the service time of a response relative to the expected one.
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -9,6 +9,7 @@
 mod leaving;
 mod limits;
 mod lookup_balancer;
+mod machine_pace;
 mod members;
 mod outcome;
 mod pauses;
