Let the soak's callers send keys that versions bring and revoke

Cause: keys revoked while hosts are killed, cut off or stopped were played by no check of whole processes.

New promises: own-customer, lasting-key (always), key-added and key-revoked (2.5 s, as for versions). Probes carry a key. The retry budget counts no denied request, so that it is not looser for them; recovery counts requests with lasting keys only, since others may be denied.

--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, sync, time};
 
-use crate::plan;
+use crate::{keys, plan};
 
 /// Time since the start of the run.
 pub type At = time::Duration;
@@ -17,6 +17,10 @@
     pub request: RequestId,
     /// Name of the backend server.
     pub server: String,
+    /// Names of customers that it came with.
+    pub customers: Vec<String>,
+    /// Whether a key came with it.
+    pub has_key: bool,
     /// When.
     pub at: At,
 }
@@ -59,6 +63,8 @@
 pub struct Request {
     /// Its id.
     pub id: RequestId,
+    /// Key that it was sent with.
+    pub key: keys::Key,
     /// Whether it may run more than once.
     pub is_idempotent: bool,
     /// Host that it was sent to.
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     book::{Arrival, At, End, Request, Seen, Span},
-    host, plan, server,
+    host, keys, plan, server,
 };
 
 /// Bounds of the platform's pages: time until a leaving backend server, a version and an evacuation
@@ -97,6 +97,7 @@
 pub fn judge(seen: &Seen, is_timed: bool) -> Verdict {
     let mut verdict = Verdict::default();
     answers(&mut verdict, seen);
+    own_customer(&mut verdict, seen);
     at_most_once(&mut verdict, seen);
     never_cut(&mut verdict, seen);
     never_back(&mut verdict, seen);
@@ -115,6 +116,7 @@
     );
     if is_timed {
         config_in_force(&mut verdict, seen);
+        keys_in_force(&mut verdict, seen);
         leaving(&mut verdict, seen);
         evacuated(&mut verdict, seen);
         cold(&mut verdict, seen);
@@ -154,6 +156,71 @@
     }
 }
 
+/// A backend server gets the name of the customer whose key the caller sent, and no key; nothing with
+/// a key that no version holds. A key that all versions hold is never denied.
+fn own_customer(verdict: &mut Verdict, seen: &Seen) {
+    let sent = seen.requests.iter().map(|req| (req.id.as_str(), req.key));
+    let sent: HashMap<&str, keys::Key> = sent.collect();
+    for arrival in &seen.arrivals {
+        let Some(key) = sent.get(arrival.request.as_str()) else {
+            continue;
+        };
+        let customer = key.customer();
+        let is_own = customer.is_some_and(|customer| arrival.customers == [customer]);
+        verdict.check(
+            "own-customer",
+            arrival.at,
+            is_own && !arrival.has_key,
+            || format!("{key:?}: {arrival:?}"),
+        );
+    }
+    for req in &seen.requests {
+        if matches!(req.key, keys::Key::Lasting(_)) {
+            verdict.check("lasting-key", req.ended, !is_denied(req), || {
+                format!("{} was denied by host {}", req.id, req.host)
+            });
+        }
+    }
+}
+
+/// Whether a request was denied for its key.
+fn is_denied(req: &Request) -> bool {
+    matches!(req.end, End::Answer { status: 401, .. })
+}
+
+/// A key is taken in time after a version brings it, and no longer after a version revokes it.
+fn keys_in_force(verdict: &mut Verdict, seen: &Seen) {
+    let stored: HashMap<u64, At> = seen.versions.iter().copied().collect();
+    let arrived: std::collections::HashSet<&str> = seen
+        .arrivals
+        .iter()
+        .map(|arrival| arrival.request.as_str())
+        .collect();
+    for req in &seen.requests {
+        let Some((first, end)) = req.key.versions() else {
+            continue;
+        };
+        if !is_calm(seen, Some(req.host), req.sent, req.ended) {
+            continue;
+        }
+        let is_due = |version| {
+            stored
+                .get(&version)
+                .is_some_and(|at| req.sent > *at + CONFIG)
+        };
+        if is_due(end) {
+            let has_arrived = arrived.contains(req.id.as_str());
+            verdict.check("key-revoked", req.sent, !has_arrived, || {
+                format!("{} at host {} with {:?}", req.id, req.host, req.key)
+            });
+        } else if is_due(first) && stored.get(&end).is_none_or(|at| req.ended < *at) {
+            verdict.check("key-added", req.sent, !is_denied(req), || {
+                format!("{} at host {} with {:?}", req.id, req.host, req.key)
+            });
+        }
+    }
+}
+
 /// What may not run twice has not, and what was refused has not run.
 fn at_most_once(verdict: &mut Verdict, seen: &Seen) {
     for req in seen.requests.iter().filter(|req| !req.is_idempotent) {
@@ -238,7 +305,7 @@
         repeats.push(arrival.at);
         let begin = arrival.at.saturating_sub(BUDGET_WINDOW);
         let count = repeats.iter().filter(|at| **at > begin).count();
-        let sent = |req: &&Request| req.sent > begin && req.sent <= arrival.at;
+        let sent = |req: &&Request| req.sent > begin && req.sent <= arrival.at && !is_denied(req);
         let requests = seen.requests.iter().filter(sent).count();
         let most = BUDGET_RATIO * requests as f64 + f64::from(host::BUDGET_SLACK);
         verdict.check("retry-budget", arrival.at, count as f64 <= most, || {
@@ -253,6 +320,7 @@
         .requests
         .iter()
         .filter(|req| req.sent > seen.healed + RECOVERY && req.end != End::Left)
+        .filter(|req| matches!(req.key, keys::Key::Lasting(_)))
         .collect();
     let is_served = |req: &&&Request| {
         matches!(
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod flags;
 pub mod host;
 pub mod judge;
+pub mod keys;
 pub mod plan;
 pub mod proxy;
 pub mod run;
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -154,6 +154,8 @@
         let arrival = book::Arrival {
             request: seen.id(),
             server: name.clone(),
+            customers: values(seen, objects::CUSTOMER_HEADER),
+            has_key: !values(seen, objects::KEY_HEADER).is_empty(),
             at: now,
         };
         book.with(|seen| seen.arrivals.push(arrival));
@@ -180,6 +182,15 @@
     }
 }
 
+/// All values of a header.
+fn values(seen: &backend::ReceivedRequest, name: &str) -> Vec<String> {
+    let lines = seen.head.lines().filter_map(|line| line.split_once(':'));
+    lines
+        .filter(|(key, _)| key.eq_ignore_ascii_case(name))
+        .map(|(_, value)| value.trim().to_string())
+        .collect()
+}
+
 fn signal_header(signal: Option<plan::Signal>) -> String {
     match signal {
         Some(plan::Signal::Limit) => format!("Server-Limit: {LIMIT}\r\n"),
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -7,7 +7,7 @@
 use tokio_util::sync as tokio_sync;
 use yuccatide_platform_standins::{client, objects};
 
-use crate::book;
+use crate::{book, keys};
 
 /// Time for which a caller waits.
 const PATIENCE: Duration = Duration::from_millis(2500);
@@ -112,6 +112,17 @@
         })
     }
 
+    /// Mostly its own key; else one that holds, or held, for some versions, or one that never does.
+    fn key(&self, rng: &mut Pcg64) -> keys::Key {
+        let newest = self.book.with(|seen| seen.versions.last().copied());
+        let newest = newest.map_or(0, |(version, _)| version);
+        match rng.random_range(0..100) {
+            0..12 => keys::Key::Passing(newest.saturating_sub(rng.random_range(0..5)).max(1)),
+            12..18 => keys::Key::Unknown(rng.random_range(0..1000)),
+            _ => keys::Key::Lasting(self.number),
+        }
+    }
+
     /// Sends one request; returns the connection where it may carry another one.
     async fn request(&self, mut open: Open, count: u64, rng: &mut Pcg64) -> Option<Open> {
         let id = format!("c{}-{count}", self.number);
@@ -122,10 +133,18 @@
             false => ("PUT", "book", "some body"),
         };
         let object = rng.random_range(0..OBJECTS);
+        let key = self.key(rng);
         let headers = [
             format!("{}: {id}", objects::REQUEST_ID_HEADER),
             format!("{}: {}", objects::DEADLINE_HEADER, PATIENCE.as_millis()),
             objects::affinity_cookie(object),
+            format!("{}: {}", objects::KEY_HEADER, key.text()),
+            // The name of another customer than that of most of its keys.
+            format!(
+                "{}: {}",
+                objects::CUSTOMER_HEADER,
+                keys::customer(self.number + 1)
+            ),
         ];
         let headers: Vec<&str> = headers.iter().map(String::as_str).collect();
         let path = format!("/{prefix}/{object}");
@@ -162,6 +181,7 @@
         let is_usable = !says_close && matches!(&end, book::End::Answer { is_whole: true, .. });
         let request = book::Request {
             id,
+            key,
             is_idempotent,
             host: open.host,
             sent,
@@ -179,8 +199,10 @@
     let answer = tokio::time::timeout(PATIENCE, async {
         let mut client = client::Client::connect(host).await.ok()?;
         let id = format!("{}: probe-{version}", objects::REQUEST_ID_HEADER);
+        let key = format!("{}: {}", objects::KEY_HEADER, keys::Key::Lasting(0).text());
         let path = format!("/probe-{version}/x");
-        client.try_send("GET", &path, &[&id], b"").await.ok()?;
+        let headers = [id.as_str(), key.as_str()];
+        client.try_send("GET", &path, &headers, b"").await.ok()?;
         client.read_response().await
     });
     match answer.await.ok()??.status {
