Let the soak search hosts' logs for keys

Cause: that no log line holds a key was checked for the fields of the lines only.

Change: the soak reads the logs of all hosts at the end; the promise keys-unlogged.

--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -153,6 +153,8 @@
     pub starts: collections::HashMap<usize, u32>,
     /// Hosts that did not end by themselves after SIGTERM, or with a failure.
     pub bad_exits: Vec<String>,
+    /// Lines of hosts' logs that hold a key.
+    pub lines_with_keys: Vec<String>,
     /// Since when all faults are over.
     pub healed: At,
 }
--- a/crates/soak/src/host.rs
+++ b/crates/soak/src/host.rs
@@ -122,7 +122,7 @@
         let log = fs::OpenOptions::new()
             .create(true)
             .append(true)
-            .open(self.dir.join(format!("{}.log", self.place.name)))?;
+            .open(self.log_path())?;
         let child = process::Command::new(&self.program)
             .env_clear()
             .env(SETTINGS, self.settings())
@@ -183,6 +183,11 @@
         }
     }
 
+    /// Log of all starts of its process.
+    pub fn log_path(&self) -> path::PathBuf {
+        self.dir.join(format!("{}.log", self.place.name))
+    }
+
     fn settings(&self) -> path::PathBuf {
         self.dir.join(format!("{}.json", self.place.name))
     }
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -114,6 +114,12 @@
         seen.bad_exits.is_empty(),
         || seen.bad_exits.join(", "),
     );
+    verdict.check(
+        "keys-unlogged",
+        seen.healed,
+        seen.lines_with_keys.is_empty(),
+        || seen.lines_with_keys.join("\n"),
+    );
     if is_timed {
         config_in_force(&mut verdict, seen);
         keys_in_force(&mut verdict, seen);
--- a/crates/soak/src/keys.rs
+++ b/crates/soak/src/keys.rs
@@ -8,6 +8,9 @@
 /// Versions that hold a passing key, from the one that brings it.
 const VERSIONS_HELD: u64 = 2;
 
+/// Beginning of each key.
+const PREFIX: &str = "secret-";
+
 /// A key that a caller sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Key {
@@ -23,9 +26,9 @@
     /// The key as it is sent.
     pub fn text(self) -> String {
         match self {
-            Key::Lasting(number) => format!("lasting-{}", customer(number)),
-            Key::Passing(version) => format!("passing-{version}"),
-            Key::Unknown(number) => format!("unknown-{number}"),
+            Key::Lasting(number) => format!("{PREFIX}lasting-{}", customer(number)),
+            Key::Passing(version) => format!("{PREFIX}passing-{version}"),
+            Key::Unknown(number) => format!("{PREFIX}unknown-{number}"),
         }
     }
 
@@ -47,6 +50,11 @@
     }
 }
 
+/// Whether a text holds a key.
+pub fn are_in(text: &str) -> bool {
+    text.contains(PREFIX)
+}
+
 /// Name of the customer that a number falls to.
 pub fn customer(number: u64) -> String {
     format!("customer-{}", number % CUSTOMERS)
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,7 +5,7 @@
 use nix::sys::signal::Signal;
 use tokio_util::sync as tokio_sync;
 
-use crate::{book, judge, plan, traffic, world};
+use crate::{book, judge, keys, plan, traffic, world};
 
 /// Time without faults after the last one, before callers stop.
 const TAIL: Duration = Duration::from_secs(8);
@@ -174,6 +174,13 @@
         if let Some(bad) = host.ended().await? {
             world.book.with(|seen| seen.bad_exits.push(bad));
         }
+        let log = tokio::fs::read(host.log_path()).await?;
+        let log = String::from_utf8_lossy(&log);
+        let with_keys = log.lines().filter(|line| keys::are_in(line));
+        let with_keys: Vec<String> = with_keys.map(str::to_string).collect();
+        world
+            .book
+            .with(|seen| seen.lines_with_keys.extend(with_keys));
     }
     Ok(())
 }
