Split the pipeline's reader and log its limits once a connection

Cause: the function that starts requests ahead looked a route up before it checked the bounds, at each wake-up of a connection that had reached them; and nothing told an operator that they were reached.

Change: bounds first; one line a connection, rate-limited; files named after their main type.

--- a/crates/node/src/gateway/pipeline/connection.rs
+++ b/crates/node/src/gateway/pipeline/connection.rs
@@ -5,7 +5,7 @@
 use http::{header, request};
 use tokio::{io::ReadBuf, net::TcpStream};
 
-use super::{answer, gated_body, reader};
+use super::{guarded_body, reader, started_request};
 use crate::gateway::{gateway, response};
 
 /// A client's connection whose requests are started before it is their turn.
@@ -46,7 +46,7 @@
     pub(in crate::gateway) fn begin_request(
         &self,
         head: &request::Parts,
-    ) -> Option<answer::StartedRequest> {
+    ) -> Option<started_request::StartedRequest> {
         let started = self.lock().begin_request(head)?;
         let is_same = started.is_for(head);
         if !is_same {
@@ -73,7 +73,7 @@
         }
         drop(reader);
         let guard = TurnGuard(sync::Arc::clone(self));
-        response.map(|body| gated_body::guarded(body, guard))
+        response.map(|body| guarded_body::guarded(body, guard))
     }
 
     /// Starts no further request ahead of its turn, and closes the connection with the last answer.
--- a/crates/node/src/gateway/pipeline/reader.rs
+++ b/crates/node/src/gateway/pipeline/reader.rs
@@ -1,6 +1,6 @@
 //! Reads a client's requests and starts those that need not wait for their turn.
 
-use std::{collections, future::Future, io, net, pin, sync, task, time};
+use std::{collections, future::Future, io, mem, net, pin, sync, task, time};
 
 use bytes::{Buf, BytesMut};
 use http::{header, request};
@@ -10,7 +10,7 @@
 };
 use yuccatide_steering::gateway as decisions;
 
-use super::{answer, head, limit};
+use super::{ahead_limit, head_finder, started_request};
 use crate::gateway::gateway;
 
 /// Most bytes of requests that are held until it is their turn.
@@ -23,7 +23,7 @@
 const CLOSE_CHECK_INTERVAL: time::Duration = time::Duration::from_millis(200);
 
 /// Bounds on what a connection may have started ahead.
-const LIMIT: limit::AheadLimit = limit::AheadLimit {
+const LIMIT: ahead_limit::AheadLimit = ahead_limit::AheadLimit {
     requests: 16,
     bytes: 4 << 20,
 };
@@ -42,16 +42,17 @@
     /// Whether no further request may be started ahead.
     is_closing: bool,
     /// Requests at the start of `held` that are in progress.
-    started: collections::VecDeque<answer::StartedRequest>,
+    started: collections::VecDeque<started_request::StartedRequest>,
     /// Length of their heads.
     started_bytes: usize,
     /// Whether the request behind them must wait for its turn.
     is_blocked: bool,
-    finder: head::HeadFinder,
+    finder: head_finder::HeadFinder,
     /// The current request, if it was started ahead and is not yet begun.
-    handed: Option<answer::StartedRequest>,
+    handed: Option<started_request::StartedRequest>,
     current: Current,
     waker: Option<task::Waker>,
+    has_logged_limit: bool,
     /// Next check whether the client has closed, while no more bytes may be held.
     close_check: Option<pin::Pin<Box<tokio::time::Sleep>>>,
 }
@@ -141,8 +142,8 @@
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<usize>> {
         let room = MAX_HELD_BYTES.saturating_sub(self.held.len());
-        let mut chunk = [0; CHUNK_BYTES];
-        let mut chunk = ReadBuf::new(&mut chunk[..room.min(CHUNK_BYTES)]);
+        let mut chunk = [mem::MaybeUninit::uninit(); CHUNK_BYTES];
+        let mut chunk = ReadBuf::uninit(&mut chunk[..room.min(CHUNK_BYTES)]);
         let read = match room {
             0 => self.poll_closed(stream, cx),
             _ => pin::Pin::new(stream).poll_read(cx, &mut chunk),
@@ -178,8 +179,8 @@
     /// Makes a request that is the whole of `bytes`, or of which they are the whole head, the current
     /// one; returns whether it did.
     fn pass_whole_request(&mut self, bytes: &[u8]) -> bool {
-        match head::HeadFinder::default().find(bytes) {
-            head::Found::Head(head) => {
+        match head_finder::HeadFinder::default().find(bytes) {
+            head_finder::Found::Head(head) => {
                 let length = head.body_length.saturating_add(head.length as u64);
                 let has_surplus = length < bytes.len() as u64;
                 if !has_surplus {
@@ -188,8 +189,8 @@
                 }
                 !has_surplus
             }
-            head::Found::Incomplete => false,
-            head::Found::Unknown => {
+            head_finder::Found::Incomplete => false,
+            head_finder::Found::Unknown => {
                 self.is_opaque = true;
                 true
             }
@@ -209,10 +210,10 @@
         }
         let found = self.finder.find(&self.held);
         match found {
-            head::Found::Incomplete if self.held.len() < MAX_HELD_BYTES => return false,
-            head::Found::Incomplete | head::Found::Unknown => self.is_opaque = true,
-            head::Found::Head(head) => {
-                self.finder = head::HeadFinder::default();
+            head_finder::Found::Incomplete if self.held.len() < MAX_HELD_BYTES => return false,
+            head_finder::Found::Incomplete | head_finder::Found::Unknown => self.is_opaque = true,
+            head_finder::Found::Head(head) => {
+                self.finder = head_finder::HeadFinder::default();
                 self.is_blocked = false;
                 self.set_current(&head);
                 self.unread_rest = head.body_length.saturating_add(head.length as u64);
@@ -221,7 +222,7 @@
         true
     }
 
-    fn set_current(&mut self, head: &head::Head) {
+    fn set_current(&mut self, head: &head_finder::Head) {
         self.is_busy = true;
         self.current = match head.is_barrier {
             true => Current::Blocks,
@@ -239,40 +240,74 @@
 
     /// Starts the requests among the held bytes that need not wait for their turn.
     fn start_ahead(&mut self, gateway: &sync::Arc<gateway::Gateway>, client: net::IpAddr) {
-        while self.started_bytes < self.held.len()
-            && !self.is_blocked
-            && !self.is_closing
-            && self.current_allows(gateway)
+        while self.may_start_next(gateway)
+            && let Some((head, length)) = self.next_idempotent(gateway)
         {
-            let bytes = &self.held[self.started_bytes..];
-            let (head, length) = match self.finder.find(bytes) {
-                head::Found::Incomplete => return,
-                head::Found::Head(head) if !head.is_barrier => (
-                    head::request_parts(&bytes[..head.length]).filter(|parts| {
-                        let host = parts.headers.get(header::HOST);
-                        is_idempotent(gateway, host, &parts.uri)
-                    }),
-                    head.length,
-                ),
-                head::Found::Head(_) | head::Found::Unknown => (None, 0),
-            };
-            let Some(head) = head else {
-                self.is_blocked = true;
-                return;
-            };
-            let reserved = answer::StartedRequest::RESERVED_BYTES;
-            let held = self.started.iter().chain(&self.handed);
-            let is_admitted = LIMIT.admits(held.map(answer::StartedRequest::held_bytes), reserved);
-            if !is_admitted || gateway.is_stopping() {
-                return;
-            }
+            let reserved = started_request::StartedRequest::RESERVED_BYTES;
             let Some(reservation) = gateway.memory.try_reserve_optional(reserved) else {
+                self.log_limit(gateway, client, "memory of the host");
                 return;
             };
-            self.finder = head::HeadFinder::default();
+            self.finder = head_finder::HeadFinder::default();
             self.started_bytes += length;
-            let started = answer::StartedRequest::new(gateway, head, length, client, reservation);
+            let started =
+                started_request::StartedRequest::new(gateway, head, length, client, reservation);
             self.started.push_back(started);
+            if !self.has_room() {
+                self.log_limit(gateway, client, "limit of the connection");
+            }
+        }
+    }
+
+    fn may_start_next(&mut self, gateway: &gateway::Gateway) -> bool {
+        self.started_bytes < self.held.len()
+            && !self.is_blocked
+            && !self.is_closing
+            && self.has_room()
+            && self.current_allows(gateway)
+            && !gateway.is_stopping()
+    }
+
+    fn has_room(&self) -> bool {
+        let held = self
+            .started
+            .iter()
+            .map(started_request::StartedRequest::held_bytes);
+        LIMIT.admits(held, started_request::StartedRequest::RESERVED_BYTES)
+    }
+
+    /// The first held request that is not started, with its length, if it has arrived and need not
+    /// wait for its turn.
+    fn next_idempotent(&mut self, gateway: &gateway::Gateway) -> Option<(request::Parts, usize)> {
+        let bytes = &self.held[self.started_bytes..];
+        let found = self.finder.find(bytes);
+        if found == head_finder::Found::Incomplete {
+            return None;
+        }
+        let next = match found {
+            head_finder::Found::Head(head) if !head.is_barrier => {
+                head_finder::request_parts(&bytes[..head.length]).map(|parts| (parts, head.length))
+            }
+            _ => None,
+        };
+        let next = next.filter(|(parts, _)| {
+            is_idempotent(gateway, parts.headers.get(header::HOST), &parts.uri)
+        });
+        self.is_blocked = next.is_none();
+        next
+    }
+
+    /// Logs once for each connection that requests wait for their turn.
+    fn log_limit(&mut self, gateway: &gateway::Gateway, client: net::IpAddr, limit: &str) {
+        if self.has_logged_limit {
+            return;
+        }
+        self.has_logged_limit = true;
+        if let Some(omitted) = gateway.admit_log_line("pipelining") {
+            log::info!(
+                client:% = client, limit, started = self.started.len(), omitted;
+                "no further request of a connection is started ahead"
+            );
         }
     }
 
@@ -290,7 +325,7 @@
     pub(super) fn begin_request(
         &mut self,
         head: &request::Parts,
-    ) -> Option<answer::StartedRequest> {
+    ) -> Option<started_request::StartedRequest> {
         if matches!(self.current, Current::Handed) {
             self.current = Current::Unrouted {
                 host: head.headers.get(header::HOST).cloned(),
--- a/crates/node/src/gateway/pipeline/answer.rs
+++ b/crates/node/src/gateway/pipeline/started_request.rs
@@ -51,7 +51,7 @@
             let size = size.map_or(MAX_ANSWER_BYTES, |size| size as usize);
             reservation.shrink_to(size);
             task_bytes.store(size, atomic::Ordering::Relaxed);
-            response.map(|answer| super::gated_body::guarded(answer, reservation))
+            response.map(|answer| super::guarded_body::guarded(answer, reservation))
         });
         StartedRequest {
             length,
