Let callers of the soak send requests before the first is answered

Cause: the soak's callers waited for each answer, so nothing played pipelined requests against faults and stops.

Change: a quarter of the idempotent requests go together with up to four further ones; some of these callers read nothing for 600 ms, and some leave. What stood behind an answer that closed the connection must have reached no server. The other promises judge each request as before.

--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -52,6 +52,8 @@
     Nothing,
     /// The caller left before the answer.
     Left,
+    /// It stood behind an answer that closed the connection.
+    Unread,
 }
 
 /// A request of a caller.
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -195,6 +195,7 @@
         let was_read = arrived.contains_key(req.id.as_str()) || req.ended > req.sent + LOSS_SLACK;
         let holds = match &req.end {
             End::Answer { is_whole, .. } => *is_whole,
+            End::Unread => !arrived.contains_key(req.id.as_str()),
             End::Closed => !was_read,
             End::Nothing | End::Left => false,
         };
@@ -252,7 +253,8 @@
     let late: Vec<&Request> = seen
         .requests
         .iter()
-        .filter(|req| req.sent > seen.healed + RECOVERY && req.end != End::Left)
+        .filter(|req| req.sent > seen.healed + RECOVERY)
+        .filter(|req| !matches!(req.end, End::Left | End::Unread))
         .collect();
     let is_served = |req: &&&Request| {
         matches!(
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -1,6 +1,6 @@
 //! Callers of a run, and its questions for versions.
 
-use std::{net, sync, time::Duration};
+use std::{collections, net, sync, time::Duration};
 
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64;
@@ -21,6 +21,14 @@
 /// Requests on one connection at most.
 const PER_CONNECTION: u32 = 40;
 
+/// Part of the idempotent requests that are sent together with further ones, and their number.
+const PIPELINED_PART: f64 = 0.25;
+const MAX_PIPELINED: u32 = 5;
+
+/// Part of these callers that read nothing for a while.
+const STALL_PART: f64 = 0.1;
+const STALL: Duration = Duration::from_millis(600);
+
 /// Life of a look-up's answer.
 const LOOKUP_LIFE: Duration = Duration::from_secs(2);
 
@@ -60,7 +68,7 @@
 }
 
 impl Caller {
-    /// Sends requests, one after the other, until `stop`.
+    /// Sends requests until `stop`.
     pub async fn run(self, stop: tokio_sync::CancellationToken) {
         let mut rng = Pcg64::seed_from_u64(self.seed ^ self.number);
         let mut open: Option<Open> = None;
@@ -78,8 +86,7 @@
                 open = self.connect(&hosts, &mut rng).await;
             }
             if let Some(connection) = open.take() {
-                count += 1;
-                open = self.request(connection, count, &mut rng).await;
+                open = self.request(connection, &mut count, &mut rng).await;
             }
             tokio::time::sleep(Duration::from_millis(rng.random_range(20..90))).await;
         }
@@ -112,54 +119,69 @@
         })
     }
 
-    /// Sends one request; returns the connection where it may carry another one.
-    async fn request(&self, mut open: Open, count: u64, rng: &mut Pcg64) -> Option<Open> {
-        let id = format!("c{}-{count}", self.number);
+    /// Sends a request, or several before the first is answered; returns the connection where it may
+    /// carry another one.
+    async fn request(&self, mut open: Open, count: &mut u64, rng: &mut Pcg64) -> Option<Open> {
         let is_idempotent = rng.random_bool(0.6);
+        let is_pipelined = is_idempotent && rng.random_bool(PIPELINED_PART);
         let leaves = rng.random_bool(0.03);
-        let (method, prefix, body) = match is_idempotent {
-            true => ("GET", "read", ""),
-            false => ("PUT", "book", "some body"),
+        let number = match is_pipelined {
+            true => rng.random_range(2..=MAX_PIPELINED),
+            false => 1,
         };
-        let object = rng.random_range(0..OBJECTS);
-        let headers = [
-            format!("{}: {id}", objects::REQUEST_ID_HEADER),
-            format!("{}: {}", objects::DEADLINE_HEADER, PATIENCE.as_millis()),
-            objects::affinity_cookie(object),
-        ];
-        let headers: Vec<&str> = headers.iter().map(String::as_str).collect();
-        let path = format!("/{prefix}/{object}");
-        open.requests += 1;
-        let is_sent = open
-            .client
-            .try_send(method, &path, &headers, body.as_bytes());
-        if is_sent.await.is_err() {
-            // The connection had ended before: nothing of the request was read.
-            return None;
+        let mut sent = collections::VecDeque::new();
+        for _ in 0..number {
+            *count += 1;
+            let id = format!("c{}-{count}", self.number);
+            if !send(&mut open.client, &id, is_idempotent, rng).await {
+                break;
+            }
+            open.requests += 1;
+            sent.push_back((id, self.book.now()));
         }
-        let sent = self.book.now();
-        let patience = if leaves {
-            Duration::from_millis(15)
-        } else {
-            NOTHING
-        };
-        let answer = tokio::time::timeout(patience, open.client.read_response()).await;
-        let says_close = matches!(
-            &answer,
-            Ok(Some(answer)) if answer.header("Connection").is_some_and(|v| v == "close")
-        );
-        let end = match answer {
-            Err(_) if leaves => book::End::Left,
-            Err(_) => book::End::Nothing,
-            Ok(None) => book::End::Closed,
-            Ok(Some(answer)) => book::End::Answer {
-                status: answer.status,
-                signature: answer.header(objects::SIGNATURE_HEADER).map(str::to_string),
-                body: answer.text(),
-                is_whole: answer.is_complete,
-            },
-        };
-        let is_usable = !says_close && matches!(&end, book::End::Answer { is_whole: true, .. });
+        if is_pipelined && rng.random_bool(STALL_PART) {
+            tokio::time::sleep(STALL).await;
+        }
+        // If nothing was sent, the connection had ended before.
+        let mut is_usable = !sent.is_empty();
+        while let Some((id, at)) = sent.pop_front() {
+            let patience = match leaves {
+                true => Duration::from_millis(15),
+                false => NOTHING,
+            };
+            let answer = tokio::time::timeout(patience, open.client.read_response()).await;
+            let says_close = matches!(
+                &answer,
+                Ok(Some(answer)) if answer.header("Connection").is_some_and(|v| v == "close")
+            );
+            let end = match answer {
+                Err(_) if leaves => book::End::Left,
+                Err(_) => book::End::Nothing,
+                Ok(None) => book::End::Closed,
+                Ok(Some(answer)) => book::End::Answer {
+                    status: answer.status,
+                    signature: answer.header(objects::SIGNATURE_HEADER).map(str::to_string),
+                    body: answer.text(),
+                    is_whole: answer.is_complete,
+                },
+            };
+            is_usable = !says_close && matches!(&end, book::End::Answer { is_whole: true, .. });
+            let end_behind = match &end {
+                _ if says_close => book::End::Unread,
+                book::End::Closed => book::End::Closed,
+                _ => book::End::Left,
+            };
+            self.record(&open, id, is_idempotent, at, end);
+            if !is_usable {
+                for (id, at) in sent.drain(..) {
+                    self.record(&open, id, is_idempotent, at, end_behind.clone());
+                }
+            }
+        }
+        (is_usable && open.requests < PER_CONNECTION).then_some(open)
+    }
+
+    fn record(&self, open: &Open, id: String, is_idempotent: bool, sent: book::At, end: book::End) {
         let request = book::Request {
             id,
             is_idempotent,
@@ -170,10 +192,27 @@
             end,
         };
         self.book.with(|seen| seen.requests.push(request));
-        (is_usable && open.requests < PER_CONNECTION).then_some(open)
     }
 }
 
+/// Sends a request; returns whether all of it was written.
+async fn send(client: &mut client::Client, id: &str, is_idempotent: bool, rng: &mut Pcg64) -> bool {
+    let (method, prefix, body) = match is_idempotent {
+        true => ("GET", "read", ""),
+        false => ("PUT", "book", "some body"),
+    };
+    let object = rng.random_range(0..OBJECTS);
+    let headers = [
+        format!("{}: {id}", objects::REQUEST_ID_HEADER),
+        format!("{}: {}", objects::DEADLINE_HEADER, PATIENCE.as_millis()),
+        objects::affinity_cookie(object),
+    ];
+    let headers: Vec<&str> = headers.iter().map(String::as_str).collect();
+    let path = format!("/{prefix}/{object}");
+    let sending = client.try_send(method, &path, &headers, body.as_bytes());
+    sending.await.is_ok()
+}
+
 /// Asks a host whether a version is in force, past the proxies.
 pub async fn probe(host: net::SocketAddr, version: u64) -> Option<bool> {
     let answer = tokio::time::timeout(PATIENCE, async {
