Reserve memory for held bytes of pipelined requests

Cause: the answers of requests that were started ahead were counted against the host's memory for clients, the bytes held before their turn were not.

Change: 16 KiB are reserved once a connection holds bytes; without them it reads no further than its first chunk, and looks whether the client has closed.

--- a/crates/node/src/gateway/pipeline/reader.rs
+++ b/crates/node/src/gateway/pipeline/reader.rs
@@ -11,7 +11,7 @@
 use yuccatide_steering::gateway as decisions;
 
 use super::{ahead_limit, head_finder, started_request};
-use crate::gateway::gateway;
+use crate::gateway::{gateway, memory};
 
 /// Most bytes of requests that are held until it is their turn.
 const MAX_HELD_BYTES: usize = 16 << 10;
@@ -33,6 +33,8 @@
 pub(super) struct Reader {
     /// Bytes that were read and not handed out; they begin with a request once `unread_rest` is 0.
     held: BytesMut,
+    /// Memory for them, unless they are few.
+    reservation: Option<memory::Reservation>,
     /// Bytes of the current request that are to be handed out.
     unread_rest: u64,
     /// Whether the current request is not answered.
@@ -91,7 +93,7 @@
             }
             if self.is_busy {
                 self.start_ahead(gateway, client);
-                if task::ready!(self.poll_hold(stream, cx))? == 0 {
+                if task::ready!(self.poll_hold(gateway, stream, cx))? == 0 {
                     return task::Poll::Ready(Ok(()));
                 }
             } else if self.held.is_empty() {
@@ -102,8 +104,10 @@
                 }
                 self.held.extend_from_slice(&buf.filled()[start..]);
                 buf.set_filled(start);
-            } else if !self.hand_out_next() && task::ready!(self.poll_hold(stream, cx))? == 0 {
-                self.is_opaque = true;
+            } else if !self.hand_out_next() {
+                // The end of the head can't come, or can't be waited for.
+                self.is_opaque = self.room(gateway) == 0
+                    || task::ready!(self.poll_hold(gateway, stream, cx))? == 0;
             }
         }
     }
@@ -135,13 +139,28 @@
         task::Poll::Ready(Ok(()))
     }
 
+    /// Bytes that may be read and held now.
+    fn room(&mut self, gateway: &gateway::Gateway) -> usize {
+        if self.held.is_empty() {
+            return CHUNK_BYTES;
+        }
+        if self.reservation.is_none() {
+            self.reservation = gateway.memory.try_reserve_optional(MAX_HELD_BYTES);
+        }
+        match self.reservation {
+            Some(_) => MAX_HELD_BYTES.saturating_sub(self.held.len()),
+            None => 0,
+        }
+    }
+
     /// Reads bytes to hold.  Returns their number; waits while no more may be held.
     fn poll_hold(
         &mut self,
+        gateway: &gateway::Gateway,
         stream: &mut TcpStream,
         cx: &mut task::Context<'_>,
     ) -> task::Poll<io::Result<usize>> {
-        let room = MAX_HELD_BYTES.saturating_sub(self.held.len());
+        let room = self.room(gateway);
         let mut chunk = [mem::MaybeUninit::uninit(); CHUNK_BYTES];
         let mut chunk = ReadBuf::uninit(&mut chunk[..room.min(CHUNK_BYTES)]);
         let read = match room {
@@ -210,8 +229,8 @@
         }
         let found = self.finder.find(&self.held);
         match found {
-            head_finder::Found::Incomplete if self.held.len() < MAX_HELD_BYTES => return false,
-            head_finder::Found::Incomplete | head_finder::Found::Unknown => self.is_opaque = true,
+            head_finder::Found::Incomplete => return false,
+            head_finder::Found::Unknown => self.is_opaque = true,
             head_finder::Found::Head(head) => {
                 self.finder = head_finder::HeadFinder::default();
                 self.is_blocked = false;
@@ -235,6 +254,7 @@
         self.held.advance(length);
         if self.held.is_empty() {
             self.held = BytesMut::new();
+            self.reservation = None;
         }
     }
 
