Judge callers of the soak that did not read by what reached a server

All came from callers that had read nothing for 600 ms, at a host that had just been started again; they see the end of a connection only after that time, so the judge took it for later than the slack in which a request may cross the end.

Change: for a caller that did not read, an end without an answer holds only if the request reached no server, whenever it was sent. The verdict says whether a request arrived.

--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -52,7 +52,8 @@
     Nothing,
     /// The caller left before the answer.
     Left,
-    /// It stood behind an answer that closed the connection.
+    /// It stood behind an answer that closed the connection, or the connection ended while the caller
+    /// did not read.
     Unread,
 }
 
--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -201,11 +201,12 @@
         };
         verdict.check("never-cut", req.ended, holds, || {
             format!(
-                "{} at host {}: {:?} after {:?}",
+                "{} at host {}: {:?} after {:?}; arrived at a server: {:?}",
                 req.id,
                 req.host,
                 req.end,
-                req.ended - req.sent
+                req.ended - req.sent,
+                arrived.get(req.id.as_str())
             )
         });
     }
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -139,7 +139,8 @@
             open.requests += 1;
             sent.push_back((id, self.book.now()));
         }
-        if is_pipelined && rng.random_bool(STALL_PART) {
+        let stalls = is_pipelined && rng.random_bool(STALL_PART);
+        if stalls {
             tokio::time::sleep(STALL).await;
         }
         // If nothing was sent, the connection had ended before.
@@ -157,6 +158,8 @@
             let end = match answer {
                 Err(_) if leaves => book::End::Left,
                 Err(_) => book::End::Nothing,
+                // When the connection ended can't be told.
+                Ok(None) if stalls => book::End::Unread,
                 Ok(None) => book::End::Closed,
                 Ok(Some(answer)) => book::End::Answer {
                     status: answer.status,
@@ -168,7 +171,7 @@
             is_usable = !says_close && matches!(&end, book::End::Answer { is_whole: true, .. });
             let end_behind = match &end {
                 _ if says_close => book::End::Unread,
-                book::End::Closed => book::End::Closed,
+                book::End::Closed | book::End::Unread => end.clone(),
                 _ => book::End::Left,
             };
             self.record(&open, id, is_idempotent, at, end);
