--- a/crates/soak/src/book.rs
+++ b/crates/soak/src/book.rs
@@ -56,6 +56,9 @@
     Nothing,
     /// The caller left before the answer.
     Left,
+    /// It stood behind an answer that closed the connection, or the connection ended while the caller
+    /// did not read.
+    Unread,
 }
 
 /// A request of a caller.
--- a/crates/soak/src/traffic.rs
+++ b/crates/soak/src/traffic.rs
@@ -1,6 +1,6 @@
 //! Callers of a run, and its questions for versions.
 
-use std::{net, sync, time::Duration};
+use std::{collections, net, sync, time::Duration};
 
 use rand::{Rng, SeedableRng, seq::IndexedRandom};
 use rand_pcg::Pcg64;
@@ -21,6 +21,14 @@
 /// Requests on one connection at most.
 const PER_CONNECTION: u32 = 40;
 
+/// Part of the idempotent requests that are sent together with further ones, and their number.
+const PIPELINED_PART: f64 = 0.25;
+const MAX_PIPELINED: u32 = 5;
+
+/// Part of these callers that read nothing for a while.
+const STALL_PART: f64 = 0.1;
+const STALL: Duration = Duration::from_millis(600);
+
 /// Life of a look-up's answer.
 const LOOKUP_LIFE: Duration = Duration::from_secs(2);
 
@@ -60,7 +68,7 @@
 }
 
 impl Caller {
-    /// Sends requests, one after the other, until `stop`.
+    /// Sends requests until `stop`.
     pub async fn run(self, stop: tokio_sync::CancellationToken) {
         let mut rng = Pcg64::seed_from_u64(self.seed ^ self.number);
         let mut open: Option<Open> = None;
@@ -78,8 +86,7 @@
                 open = self.connect(&hosts, &mut rng).await;
             }
             if let Some(connection) = open.take() {
-                count += 1;
-                open = self.request(connection, count, &mut rng).await;
+                open = self.request(connection, &mut count, &mut rng).await;
             }
             tokio::time::sleep(Duration::from_millis(rng.random_range(20..90))).await;
         }
@@ -123,22 +130,101 @@
         }
     }
 
-    /// Sends one request; returns the connection where it may carry another one.
-    async fn request(&self, mut open: Open, count: u64, rng: &mut Pcg64) -> Option<Open> {
-        let id = format!("c{}-{count}", self.number);
+    /// Sends a request, or several before the first is answered; returns the connection where it may
+    /// carry another one.
+    async fn request(&self, mut open: Open, count: &mut u64, rng: &mut Pcg64) -> Option<Open> {
         let is_idempotent = rng.random_bool(0.6);
+        let is_pipelined = is_idempotent && rng.random_bool(PIPELINED_PART);
         let leaves = rng.random_bool(0.03);
-        let (method, prefix, body) = match is_idempotent {
+        let number = match is_pipelined {
+            true => rng.random_range(2..=MAX_PIPELINED),
+            false => 1,
+        };
+        let mut sent = collections::VecDeque::new();
+        for _ in 0..number {
+            *count += 1;
+            let sending = Sending {
+                id: format!("c{}-{count}", self.number),
+                key: self.key(rng),
+                is_idempotent,
+            };
+            if !self.send(&mut open.client, &sending, rng).await {
+                break;
+            }
+            open.requests += 1;
+            sent.push_back((sending, self.book.now()));
+        }
+        let stalls = is_pipelined && rng.random_bool(STALL_PART);
+        if stalls {
+            tokio::time::sleep(STALL).await;
+        }
+        // If nothing was sent, the connection had ended before.
+        let mut is_usable = !sent.is_empty();
+        while let Some((sending, at)) = sent.pop_front() {
+            let patience = match leaves {
+                true => Duration::from_millis(15),
+                false => NOTHING,
+            };
+            let answer = tokio::time::timeout(patience, open.client.read_response()).await;
+            let says_close = matches!(
+                &answer,
+                Ok(Some(answer)) if answer.header("Connection").is_some_and(|v| v == "close")
+            );
+            let end = match answer {
+                Err(_) if leaves => book::End::Left,
+                Err(_) => book::End::Nothing,
+                // When the connection ended can't be told.
+                Ok(None) if stalls => book::End::Unread,
+                Ok(None) => book::End::Closed,
+                Ok(Some(answer)) => book::End::Answer {
+                    status: answer.status,
+                    signature: answer.header(objects::SIGNATURE_HEADER).map(str::to_string),
+                    body: answer.text(),
+                    is_whole: answer.is_complete,
+                },
+            };
+            is_usable = !says_close && matches!(&end, book::End::Answer { is_whole: true, .. });
+            let end_behind = match &end {
+                _ if says_close => book::End::Unread,
+                book::End::Closed | book::End::Unread => end.clone(),
+                _ => book::End::Left,
+            };
+            self.record(&open, sending, at, end);
+            if !is_usable {
+                for (sending, at) in sent.drain(..) {
+                    self.record(&open, sending, at, end_behind.clone());
+                }
+            }
+        }
+        (is_usable && open.requests < PER_CONNECTION).then_some(open)
+    }
+
+    fn record(&self, open: &Open, sending: Sending, sent: book::At, end: book::End) {
+        let request = book::Request {
+            id: sending.id,
+            key: sending.key,
+            is_idempotent: sending.is_idempotent,
+            host: open.host,
+            sent,
+            ended: self.book.now(),
+            opened: open.opened,
+            end,
+        };
+        self.book.with(|seen| seen.requests.push(request));
+    }
+
+    /// Sends a request; returns whether all of it was written.
+    async fn send(&self, client: &mut client::Client, sending: &Sending, rng: &mut Pcg64) -> bool {
+        let (method, prefix, body) = match sending.is_idempotent {
             true => ("GET", "read", ""),
             false => ("PUT", "book", "some body"),
         };
         let object = rng.random_range(0..OBJECTS);
-        let key = self.key(rng);
         let headers = [
-            format!("{}: {id}", objects::REQUEST_ID_HEADER),
+            format!("{}: {}", objects::REQUEST_ID_HEADER, sending.id),
             format!("{}: {}", objects::DEADLINE_HEADER, PATIENCE.as_millis()),
             objects::affinity_cookie(object),
-            format!("{}: {}", objects::KEY_HEADER, key.text()),
+            format!("{}: {}", objects::KEY_HEADER, sending.key.text()),
             // The name of another customer than that of most of its keys.
             format!(
                 "{}: {}",
@@ -148,52 +234,18 @@
         ];
         let headers: Vec<&str> = headers.iter().map(String::as_str).collect();
         let path = format!("/{prefix}/{object}");
-        open.requests += 1;
-        let is_sent = open
-            .client
-            .try_send(method, &path, &headers, body.as_bytes());
-        if is_sent.await.is_err() {
-            // The connection had ended before: nothing of the request was read.
-            return None;
-        }
-        let sent = self.book.now();
-        let patience = if leaves {
-            Duration::from_millis(15)
-        } else {
-            NOTHING
-        };
-        let answer = tokio::time::timeout(patience, open.client.read_response()).await;
-        let says_close = matches!(
-            &answer,
-            Ok(Some(answer)) if answer.header("Connection").is_some_and(|v| v == "close")
-        );
-        let end = match answer {
-            Err(_) if leaves => book::End::Left,
-            Err(_) => book::End::Nothing,
-            Ok(None) => book::End::Closed,
-            Ok(Some(answer)) => book::End::Answer {
-                status: answer.status,
-                signature: answer.header(objects::SIGNATURE_HEADER).map(str::to_string),
-                body: answer.text(),
-                is_whole: answer.is_complete,
-            },
-        };
-        let is_usable = !says_close && matches!(&end, book::End::Answer { is_whole: true, .. });
-        let request = book::Request {
-            id,
-            key,
-            is_idempotent,
-            host: open.host,
-            sent,
-            ended: self.book.now(),
-            opened: open.opened,
-            end,
-        };
-        self.book.with(|seen| seen.requests.push(request));
-        (is_usable && open.requests < PER_CONNECTION).then_some(open)
+        let sending = client.try_send(method, &path, &headers, body.as_bytes());
+        sending.await.is_ok()
     }
 }
 
+/// A request that a caller sends.
+struct Sending {
+    id: String,
+    key: keys::Key,
+    is_idempotent: bool,
+}
+
 /// Asks a host whether a version is in force, past the proxies.
 pub async fn probe(host: net::SocketAddr, version: u64) -> Option<bool> {
     let answer = tokio::time::timeout(PATIENCE, async {
