Decide on quotas by fixed parts and short loans of tokens

Equal shares refuse nearly all requests of a small customer, whose clients keep their connections to a few hosts, and a count in one place does not survive a cut.

--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod deployment;
 pub mod fleet;
 pub mod platform;
+pub mod quota;
 pub mod serve;
--- /dev/null
+++ b/crates/steering/tests/quota/main.rs
@@ -0,0 +1,4 @@
+//! Tests of admission by quota.
+
+mod cases;
+mod histories;
