Admit requests by the quotas of customers at the gateway

After the key, a request of a customer with a quota takes a token of the ledger; it waits up to a tenth of its objective for tokens of other hosts. Beyond the quota it gets 429 with Retry-After; where no holder answers, 503, as the host cannot tell. A request that no backend server has run gives its token back. Asks and grants are messages of their own kind, sent at once; without quotas there are none.

--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -71,6 +71,10 @@
 
     /// Applies a message from another host and returns the message to forward, if any.
     pub fn handle_message(&self, message: decisions::Message) -> Option<decisions::Outgoing> {
+        let message = match message {
+            decisions::Message::Quota(message) => return self.receive_quota(message),
+            message => message,
+        };
         let now = self.clock.now();
         let mut state = self.lock();
         match &message {
@@ -91,7 +95,9 @@
             decisions::Message::StoreReport { progress, checks } => {
                 self.adopt_store_progress(&mut state, progress, checks, false, now);
             }
-            decisions::Message::Introduction(_) | decisions::Message::Contacts(_) => {}
+            decisions::Message::Introduction(_)
+            | decisions::Message::Contacts(_)
+            | decisions::Message::Quota(_) => {}
         }
         if let decisions::Message::Heartbeat(heartbeat) = &message
             && heartbeat.member.data_centre == self.own_data_centre
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -74,7 +74,7 @@
             (
                 route.name.clone(),
                 customer,
-                serve_before_deadline(&gateway, client_req, incoming).await,
+                serve_within_quota(&gateway, client_req, incoming).await,
             )
         }
         Err(response) => (String::new(), None, *response),
@@ -97,6 +97,7 @@
 /// - `answered`: success;
 /// - `answered-with-failure`: signed response of a backend server without a success status;
 /// - `refused`: the host sent 503, and no backend server has run the request;
+/// - `over-quota`: the host sent 429, as the customer's quota is used up;
 /// - `unknown`: another 5xx of the host; a backend server may have run the request;
 /// - `denied`: the host rejected the request, for example for lack of a route or for its size.
 fn result_label(gateway: &gateway::Gateway, response: &response::Response) -> &'static str {
@@ -107,6 +108,7 @@
         status if status.is_success() => "answered",
         _ if is_from_server => "answered-with-failure",
         http::StatusCode::SERVICE_UNAVAILABLE => "refused",
+        http::StatusCode::TOO_MANY_REQUESTS => "over-quota",
         status if status.is_server_error() => "unknown",
         _ => "denied",
     }
@@ -212,6 +214,25 @@
     Ok(())
 }
 
+/// Serves a request if the quota of its customer, if it has one, admits it.
+async fn serve_within_quota(
+    gateway: &gateway::Gateway,
+    client_req: ClientRequest,
+    incoming: hyper::body::Incoming,
+) -> response::Response {
+    let permit = match gateway.admit_by_quota(&client_req).await {
+        Ok(permit) => permit,
+        Err(response) => return *response,
+    };
+    let response = serve_before_deadline(gateway, client_req, incoming).await;
+    if let Some(permit) = permit
+        && result_label(gateway, &response) == "refused"
+    {
+        gateway.give_back(permit);
+    }
+    response
+}
+
 async fn serve_before_deadline(
     gateway: &gateway::Gateway,
     client_req: ClientRequest,
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -7,8 +7,8 @@
 use yuccatide_steering::{customers, gateway as decisions, matching, model};
 
 use super::{
-    connection_pool, demand, header_names, log_limit, memory, metrics, report, settings, state,
-    status_check, store_state, update,
+    connection_pool, demand, header_names, log_limit, memory, metrics, quota, report, settings,
+    state, status_check, store_state, update,
 };
 use crate::clock;
 
@@ -39,6 +39,7 @@
     log_limiter: log_limit::LogLimiter,
     /// Memory for what clients send and for answers that they have not read.
     pub(super) memory: sync::Arc<memory::MemoryBudget>,
+    pub(super) quotas: quota::Quotas,
     /// Availability and newest known revisions of the platform's store.
     pub store_state: store_state::StoreState,
     /// Counters, histograms and gauges.
@@ -93,6 +94,7 @@
             connection_pool: connection_pool::ConnectionPool::default(),
             log_limiter: log_limit::LogLimiter::default(),
             memory: sync::Arc::new(memory::MemoryBudget::new(settings.client_memory)),
+            quotas: quota::Quotas::new(settings.quota_bounds),
             store_state: store_state::StoreState::default(),
             metrics: metrics::Metrics::new(),
             own_data_centre,
@@ -120,7 +122,10 @@
             update::Update::Server(_) | update::Update::ServerRemoved(_)
         );
         match update {
-            update::Update::Policy(policy) => state.apply_policy(policy),
+            update::Update::Policy(policy) => {
+                state.apply_policy(policy);
+                self.quotas.apply_policy(state.route_table.policy(), now);
+            }
             update::Update::Servers(entries) => {
                 let missing = state.dispatcher.servers.replace(entries, now);
                 missing
@@ -196,6 +201,8 @@
                 last_hosts_update = time::Instant::now();
                 let hosts = state.members.live_hosts(now);
                 state.dispatcher.set_hosts(hosts);
+                let regions = &self.settings.regions;
+                self.quotas.update_hosts(&state, regions, self.started, now);
                 self.store_state
                     .set_verifier_rank(state.members.verifier_rank(now));
             }
@@ -206,7 +213,9 @@
                 state.crash_book.expire(now);
                 state.update_shares(&self.settings, now);
                 report::update_gauges(&self.metrics, &state, &self.store_state, now);
+                report::quota_parts(&self.metrics, &state, &self.quotas);
             }
+            self.quotas.poll(now);
             if state.dispatcher.has_waiting() {
                 self.decide(&mut state, now);
             }
--- a/crates/node/src/gateway/gossip.rs
+++ b/crates/node/src/gateway/gossip.rs
@@ -30,6 +30,7 @@
                 }
                 send(&socket, gateway.outgoing_messages(summary_due)).await;
             }
+            () = gateway.quota_messages_due() => send(&socket, gateway.quota_messages()).await,
             received = socket.recv_from(&mut buf) => {
                 let Ok((length, _)) = received else {
                     // ICMP port unreachable: the peer is down, which its missing heartbeats show.
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -38,6 +38,11 @@
     result: &'static str,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CustomerLabel {
+    customer: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct RouteLabels {
     route: String,
@@ -76,6 +81,7 @@
     routes: sync::Mutex<collections::HashSet<String>>,
     customers: sync::Mutex<collections::HashSet<String>>,
     customer_requests: family::Family<CustomerLabels, counter::Counter>,
+    quota_parts: family::Family<CustomerLabel, FloatGauge>,
     denied: family::Family<ReasonLabels, counter::Counter>,
     requests: family::Family<RequestLabels, counter::Counter>,
     latency: Latency,
@@ -112,6 +118,7 @@
             routes: sync::Mutex::default(),
             customers: sync::Mutex::default(),
             customer_requests: family::Family::default(),
+            quota_parts: family::Family::default(),
             denied: family::Family::default(),
             requests: family::Family::default(),
             latency: family::Family::new_with_constructor(new_histogram),
@@ -164,6 +171,11 @@
             "Requests by customer and result",
             self.customer_requests.clone(),
         );
+        registry.register(
+            "quota_part",
+            "Part of a customer's quota that the host holds itself",
+            self.quota_parts.clone(),
+        );
         registry.register(
             "denied",
             "Requests denied for their key, by reason",
@@ -314,6 +326,15 @@
             .inc();
     }
 
+    /// Sets the part of a customer's quota that the host holds itself.
+    pub(super) fn set_quota_part(&self, customer: &str, part: f64) {
+        let customer = label(&self.customers, MAX_CUSTOMER_LABELS, customer);
+        if customer != OTHERS {
+            let labels = CustomerLabel { customer };
+            self.quota_parts.get_or_create(&labels).set(part);
+        }
+    }
+
     /// Records a request denied for its key.
     pub(super) fn record_denial(&self, reason: &'static str) {
         self.denied.get_or_create(&ReasonLabels { reason }).inc();
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -26,6 +26,7 @@
 mod log_limit;
 mod memory;
 mod metrics;
+mod quota;
 mod report;
 mod response;
 mod settings;
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -4,7 +4,7 @@
 
 use yuccatide_steering::{gateway as decisions, model};
 
-use super::{fingerprint, gateway, metrics, state, store_state};
+use super::{fingerprint, gateway, metrics, quota, state, store_state};
 
 /// Logs and counts a request that goes to a cold backend server, with the hosts of the data
 /// centre that this one knows; they share the server's rate.
@@ -107,6 +107,19 @@
     );
 }
 
+/// Sets the part of each customer's quota that the host holds.
+pub(super) fn quota_parts(
+    metrics: &metrics::Metrics,
+    state: &state::State,
+    quotas: &quota::Quotas,
+) {
+    if let Some(policy) = state.route_table.policy() {
+        for (customer, part) in quotas.own_parts(policy) {
+            metrics.set_quota_part(&customer.name, part);
+        }
+    }
+}
+
 /// Sets the gauges to what the host believes.
 pub(super) fn update_gauges(
     metrics: &metrics::Metrics,
--- a/crates/node/src/gateway/response.rs
+++ b/crates/node/src/gateway/response.rs
@@ -12,7 +12,18 @@
 
 /// Refuses a request that has not run and tells the client when to retry.
 pub(super) fn refusal(reason: decisions::Reason, retry_after: time::Duration) -> Response {
-    let mut response = text(http::StatusCode::SERVICE_UNAVAILABLE, reason.as_str());
+    let response = text(http::StatusCode::SERVICE_UNAVAILABLE, reason.as_str());
+    with_retry_after(response, retry_after)
+}
+
+/// Refuses a request beyond its customer's quota and tells the client when to retry.
+pub(super) fn over_quota(retry_after: time::Duration) -> Response {
+    let reason = decisions::Reason::OverQuota;
+    let response = text(http::StatusCode::TOO_MANY_REQUESTS, reason.as_str());
+    with_retry_after(response, retry_after)
+}
+
+fn with_retry_after(mut response: Response, retry_after: time::Duration) -> Response {
     let seconds = format!("{:.3}", retry_after.as_secs_f64());
     if let Ok(seconds) = header::HeaderValue::from_str(&seconds) {
         response.headers_mut().insert(header::RETRY_AFTER, seconds);
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, net, time};
 
-use yuccatide_steering::{gateway as decisions, model};
+use yuccatide_steering::{gateway as decisions, model, quota};
 
 /// Settings of a gateway.
 #[derive(Clone, Debug)]
@@ -23,6 +23,8 @@
     pub retry: decisions::RetryLimits,
     /// Share of a region's callers that may move to another region within 2 s.
     pub max_shift: f64,
+    /// How far the sum over all hosts may exceed a customer's quota.
+    pub quota_bounds: quota::Bounds,
     /// Bytes that the host may hold for all clients together.
     pub client_memory: usize,
 }
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -135,7 +135,7 @@
                 members.into_iter().for_each(|member| self.learn(member));
                 None
             }
-            messages::Message::StoreReport { .. } => None,
+            messages::Message::StoreReport { .. } | messages::Message::Quota(_) => None,
         }
     }
 
@@ -507,6 +507,26 @@
         send_shares::KnownHosts::new(&self.own.host, hosts)
     }
 
+    /// Other known hosts of all data centres, and whether each is live.
+    pub fn peers(&self, now: model::Time) -> impl Iterator<Item = (&messages::Member, bool)> {
+        let local = self.live_heartbeats(now).map(|heartbeat| &heartbeat.member);
+        let remote = self
+            .live_summaries(now)
+            .flat_map(|summary| &summary.members);
+        let live: collections::HashSet<&model::HostId> =
+            local.chain(remote).map(|member| &member.host).collect();
+        let others = self
+            .known
+            .values()
+            .filter(|member| member.host != self.own.host);
+        others.map(move |member| (member, live.contains(&member.host)))
+    }
+
+    /// Whether the settings name no other host.
+    pub fn has_no_seeds(&self) -> bool {
+        self.seeds.iter().all(|seed| *seed == self.own.peers)
+    }
+
     /// Number of live hosts in the own data centre, including this one.
     pub fn live_host_count(&self, now: model::Time) -> usize {
         1 + self.live_heartbeats(now).count()
--- a/crates/steering/src/gateway/messages.rs
+++ b/crates/steering/src/gateway/messages.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{crash_book, signal_book, store_revision, store_view};
-use crate::model;
+use crate::{model, quota};
 
 /// A host of the deployment.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -127,6 +127,8 @@
         /// How old that knowledge is.
         checks: store_view::StoreChecks,
     },
+    /// Tokens of customers' quotas.
+    Quota(quota::Message),
 }
 
 /// A message and the hosts that it goes to.
--- a/crates/steering/src/gateway/outcome.rs
+++ b/crates/steering/src/gateway/outcome.rs
@@ -48,6 +48,10 @@
     Stopping,
     /// Backend servers crash under it.
     CrashesServers,
+    /// The quota of its customer is used up.
+    OverQuota,
+    /// No host has answered that holds more of the quota of its customer.
+    QuotaUnknown,
 }
 
 impl Reason {
@@ -62,6 +66,8 @@
             Reason::Budget => "budget",
             Reason::Stopping => "stopping",
             Reason::CrashesServers => "crashes-servers",
+            Reason::OverQuota => "over-quota",
+            Reason::QuotaUnknown => "quota-unknown",
         }
     }
 }
--- a/crates/steering/src/quota/ledger.rs
+++ b/crates/steering/src/quota/ledger.rs
@@ -197,13 +197,6 @@
         }
     }
 
-    /// Ends the wait of a request whose client has left.
-    pub fn abandon(&mut self, customer: &str, request: T) {
-        if let Some(account) = self.accounts.get_mut(&customer_hash(customer)) {
-            account.waiting.retain(|waiting| waiting.request != request);
-        }
-    }
-
     /// Handles a message; returns the response, if any.
     pub fn receive(&mut self, message: messages::Message, now: model::Time) -> Option<Outgoing> {
         match message {
@@ -227,6 +220,11 @@
         std::mem::take(&mut self.decided)
     }
 
+    /// Whether there are messages to send.
+    pub fn has_messages(&self) -> bool {
+        !self.to_send.is_empty()
+    }
+
     /// Messages to send now, one for each host that is asked.
     pub fn take_messages(&mut self, now: model::Time) -> Vec<Outgoing> {
         let to_send = std::mem::take(&mut self.to_send);
