--- a/crates/bench/src/measures/mod.rs
+++ b/crates/bench/src/measures/mod.rs
@@ -17,6 +17,7 @@
 mod overload;
 mod patch;
 mod placement;
+mod quota;
 mod region_loss;
 mod shift;
 
@@ -60,4 +61,5 @@
     drain::MEASURE,
     headroom::MEASURE,
     placement::MEASURE,
+    quota::MEASURE,
 ];
--- a/crates/steering/src/quota/ledger.rs
+++ b/crates/steering/src/quota/ledger.rs
@@ -363,9 +363,10 @@
         let Some(account) = self.accounts.get_mut(&customer) else {
             return;
         };
-        let is_asking = account.is_asking();
+        // A late answer is of use, too.
+        let may_get_tokens = !account.asked.is_empty();
         while let Some(waiting) = account.waiting.front()
-            && (!is_asking || waiting.until <= now)
+            && (!may_get_tokens || waiting.until <= now)
         {
             let request = waiting.request;
             account.waiting.pop_front();
