--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -27,6 +27,7 @@
 mod memory;
 mod metrics;
 mod pipeline;
+mod quota;
 mod report;
 mod response;
 mod settings;
