Send slow requests that may be repeated to a second backend server

Cause: work has a tail, and servers turn slow for moments; a request that met either waited to the end, whatever room other servers had.

Change: a request that may be repeated and is slower than nearly all of its kind gets a second attempt, if another backend server has room, no request waits for the service, and both the operator's share of extra work and the retry budget cover it. The first good answer counts, the other attempt is cancelled.

--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -7,7 +7,7 @@
 use xxhash_rust::xxh3;
 use yuccatide_steering::gateway as decisions;
 
-use super::{attempt, body, error, fingerprint, gateway, response};
+use super::{attempt, body, error, fingerprint, gateway, hedge, response};
 
 /// Retry-After of a refusal if no estimate of free capacity is available.
 const DEFAULT_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
@@ -291,10 +291,6 @@
         if let Some((reason, retry_after)) = why_not_sent(gateway, &client_req, fingerprint) {
             return give_up(gateway, &client_req, progress, reason, retry_after);
         }
-        let body = match rest.take() {
-            None => body::full(bytes.clone()),
-            Some(rest) => body::prefixed(bytes.clone(), rest, ()),
-        };
         let attempt = attempt::Attempt {
             gateway,
             client_req: &client_req,
@@ -305,7 +301,20 @@
             chosen_at: at,
             is_sent: &progress.is_attempt_sent,
         };
-        let result = attempt::send(&attempt, body).await;
+        let finished = match rest.take() {
+            None => hedge::send(&attempt, &bytes, progress.arrivals).await,
+            Some(rest) => {
+                let body = body::prefixed(bytes.clone(), rest, ());
+                hedge::Finished::alone(&attempt, attempt::send(&attempt, body).await)
+            }
+        };
+        let hedge::Finished {
+            ticket,
+            index,
+            entry,
+            result,
+            other_arrivals,
+        } = finished;
         progress
             .is_attempt_sent
             .store(false, atomic::Ordering::Relaxed);
@@ -314,9 +323,9 @@
             Ok(received) => (received.outcome, Some(received.signals)),
             Err(e) => (e.outcome(), None),
         };
-        gateway.finish_attempt(guard.ticket, outcome, signals);
-        progress.arrivals += u32::from(outcome.reached_server());
-        progress.has_maybe_run |= !outcome.was_not_executed();
+        gateway.finish_attempt(ticket, outcome, signals);
+        progress.arrivals += u32::from(outcome.reached_server()) + other_arrivals;
+        progress.has_maybe_run |= !outcome.was_not_executed() || other_arrivals > 0;
         // Only now: the deadline may pass while the server's address is tried.
         match &result {
             Ok(_) if !outcome.was_not_executed() => gateway.record_answer(fingerprint),
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -4,7 +4,7 @@
 
 use tokio::sync::oneshot;
 use tokio_util::sync as tokio_sync;
-use yuccatide_steering::{gateway as decisions, matching, model};
+use yuccatide_steering::{gateway as decisions, hedging, matching, model};
 
 use super::{
     connection_pool, demand, header_names, log_limit, memory, metrics, report, settings, state,
@@ -70,6 +70,7 @@
             )
             .with_renewal_interval(settings.renewal_interval)
             .with_cold_tolerance(settings.cold_tolerance),
+            hedger: hedging::Hedger::new(settings.extra_work),
             members: decisions::Members::new(settings.member.clone())
                 .with_seeds(settings.seeds.clone()),
             crash_book: decisions::CrashBook::default(),
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -82,6 +82,8 @@
     pub(super) leaving_servers: gauge::Gauge,
     pub(super) server_crashes: counter::Counter,
     pub(super) blocked_requests: gauge::Gauge,
+    pub(super) second_attempts: counter::Counter,
+    pub(super) second_attempts_won: counter::Counter,
     pub(super) unreadable_signals: counter::Counter,
     pub(super) evacuated_data_centres: gauge::Gauge,
     pub(super) store_answers: gauge::Gauge,
@@ -115,6 +117,8 @@
             leaving_servers: gauge::Gauge::default(),
             server_crashes: counter::Counter::default(),
             blocked_requests: gauge::Gauge::default(),
+            second_attempts: counter::Counter::default(),
+            second_attempts_won: counter::Counter::default(),
             unreadable_signals: counter::Counter::default(),
             send_delay: histogram::Histogram::new(SEND_DELAY_BUCKETS_S),
             cold_attempts: counter::Counter::default(),
@@ -202,6 +206,16 @@
             "Attempts that were in progress at a backend server when it crashed",
             self.server_crashes.clone(),
         );
+        registry.register(
+            "second_attempts",
+            "Second attempts of requests that were slower than nearly all of their kind",
+            self.second_attempts.clone(),
+        );
+        registry.register(
+            "second_attempts_won",
+            "Second attempts that were answered before the first one",
+            self.second_attempts_won.clone(),
+        );
         registry.register(
             "blocked_requests",
             "Requests that no host sends any more, since backend servers crash under them",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -21,6 +21,7 @@
 mod gateway;
 mod gossip;
 mod header_names;
+mod hedge;
 mod list_watch;
 mod log_limit;
 mod memory;
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -23,6 +23,9 @@
     pub retry: decisions::RetryLimits,
     /// Share of a region's callers that may move to another region within 2 s.
     pub max_shift: f64,
+    /// Work that second attempts of slow requests may add, relative to that of first ones; 0 for
+    /// none.
+    pub extra_work: f64,
     /// Bytes that the host may hold for all clients together.
     pub client_memory: usize,
 }
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -3,7 +3,7 @@
 use std::{collections, sync, time};
 
 use tokio::sync::oneshot;
-use yuccatide_steering::{gateway as decisions, matching, model};
+use yuccatide_steering::{gateway as decisions, hedging, matching, model};
 
 use super::{demand, gateway, report, settings};
 
@@ -12,6 +12,7 @@
     pub(super) route_table: decisions::RouteTable,
     pub(super) traffic_splitter: decisions::TrafficSplitter,
     pub(super) dispatcher: decisions::Dispatcher,
+    pub(super) hedger: hedging::Hedger,
     pub(super) members: decisions::Members,
     pub(super) crash_book: decisions::CrashBook,
     pub(super) evacuations: decisions::Evacuations,
@@ -77,6 +78,8 @@
             self.client_retries.retain(policy);
             self.dispatcher.set_services(&policy.services);
             self.dispatcher.retain_routes(policy);
+            let names = policy.route_names();
+            self.hedger.retain(|route| names.contains(route));
         }
         log::info!(version; "configuration applied");
     }
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -81,16 +81,16 @@
     pub servers: server_set::ServerSet,
     /// Requests in progress from the other hosts of the data centre.
     pub remote_in_flight: remote_in_flight::RemoteInFlight,
-    times: service_times::ServiceTimeEstimates,
-    data_centre: model::DataCentreId,
-    regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
+    pub(super) times: service_times::ServiceTimeEstimates,
+    pub(super) data_centre: model::DataCentreId,
+    pub(super) regions: collections::BTreeMap<model::DataCentreId, model::RegionId>,
     waiting: collections::BTreeMap<model::ServiceId, Vec<WaitingRequest>>,
     attempts: collections::HashMap<Ticket, Attempt>,
     budgets: collections::BTreeMap<model::ServiceId, retry_budget::RetryBudget>,
     fairness: collections::BTreeMap<model::ServiceId, fairness::Fairness>,
-    shares: send_shares::SendShares,
+    pub(super) shares: send_shares::SendShares,
     limits: RetryLimits,
-    last_ticket: Ticket,
+    pub(super) last_ticket: Ticket,
 }
 
 impl Dispatcher {
@@ -212,6 +212,13 @@
         self.waiting.values().any(|queue| !queue.is_empty())
     }
 
+    /// Whether any request waits for a backend server of a service.
+    pub(super) fn has_waiting_for(&self, service: &str) -> bool {
+        self.waiting
+            .get(service)
+            .is_some_and(|queue| !queue.is_empty())
+    }
+
     /// Number of requests that wait for a backend server.
     pub fn waiting_count(&self) -> usize {
         self.waiting.values().map(Vec::len).sum()
@@ -241,7 +248,8 @@
             return;
         };
         if outcome == outcome::Outcome::Answered {
-            record_response(&mut self.times, server, &attempt, duration, now);
+            let route = &attempt.req.route;
+            service_times::record_response(&mut self.times, server, route, duration, now);
         }
     }
 
@@ -553,7 +561,7 @@
             .is_some_and(|fairness| fairness.is_starved(&req.route.name))
     }
 
-    fn start_attempt(
+    pub(super) fn start_attempt(
         &mut self,
         ticket: Ticket,
         req: request::Request,
@@ -578,23 +586,3 @@
         Some(entry)
     }
 }
-
-/// Updates the estimates of the route's service time and of the backend server's relative service
-/// time from a response.
-fn record_response(
-    times: &mut service_times::ServiceTimeEstimates,
-    server: &mut server::Server,
-    attempt: &Attempt,
-    duration: time::Duration,
-    now: model::Time,
-) {
-    if server.is_cold(now) {
-        return;
-    }
-    let route = &attempt.req.route;
-    let relative_time = server.relative_service_time();
-    let is_cached = times.was_cached(route, duration, relative_time);
-    let expected = times.expected_seconds(route, is_cached);
-    server.observe(duration.as_secs_f64() / expected);
-    times.observe(&route.name, is_cached, duration, relative_time);
-}
--- a/crates/steering/src/gateway/policy.rs
+++ b/crates/steering/src/gateway/policy.rs
@@ -100,7 +100,7 @@
 
 impl Policy {
     /// Names of all routes.
-    pub(super) fn route_names(&self) -> collections::HashSet<&str> {
+    pub fn route_names(&self) -> collections::HashSet<&str> {
         self.routes
             .iter()
             .map(|route| route.name.as_str())
--- a/crates/steering/src/gateway/service_times.rs
+++ b/crates/steering/src/gateway/service_times.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use super::policy;
+use super::{policy, server};
 use crate::model;
 
 /// Weight of a new observation in the moving averages.
@@ -85,3 +85,22 @@
         cached.min(uncached)
     }
 }
+
+/// Updates the estimates of the route's service time and of the backend server's relative service
+/// time from a response.
+pub(super) fn record_response(
+    times: &mut ServiceTimeEstimates,
+    server: &mut server::Server,
+    route: &policy::Route,
+    duration: time::Duration,
+    now: model::Time,
+) {
+    if server.is_cold(now) {
+        return;
+    }
+    let relative_time = server.relative_service_time();
+    let is_cached = times.was_cached(route, duration, relative_time);
+    let expected = times.expected_seconds(route, is_cached);
+    server.observe(duration.as_secs_f64() / expected);
+    times.observe(&route.name, is_cached, duration, relative_time);
+}
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dedup;
 pub mod drain;
 pub mod gateway;
+pub mod hedging;
 pub mod link;
 pub mod lookup;
 pub mod matching;
