--- a/crates/node/src/gateway/hedge.rs
+++ b/crates/node/src/gateway/hedge.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use yuccatide_steering::gateway as decisions;
 
-use super::{attempt, body, error, forward, gateway};
+use super::{attempt, body, error, gateway};
 
 type AttemptResult = Result<attempt::ServerResponse, error::Error>;
 
