--- a/crates/node/src/gateway/hedge.rs
+++ b/crates/node/src/gateway/hedge.rs
@@ -1,6 +1,6 @@
 //! A second attempt beside a first one that is slower than nearly all of its kind.
 
-use std::{future::Future, sync::atomic, time};
+use std::{future::Future, time};
 
 use bytes::Bytes;
 use yuccatide_steering::gateway as decisions;
@@ -94,13 +94,11 @@
         started: time::Instant::now(),
         is_armed: true,
     };
-    let is_second_sent = atomic::AtomicBool::new(false);
     let second_attempt = attempt::Attempt {
         index: second.server,
         entry: &second.entry,
         ticket: second.ticket,
         chosen_at: gateway.clock.now(),
-        is_sent: &is_second_sent,
         ..*first
     };
     let second_send = attempt::send(&second_attempt, body::full(bytes.clone()));
@@ -111,6 +109,7 @@
     match (has_second_won, raced.first, raced.second) {
         (true, first_result, Some(result)) => {
             gateway.metrics.second_attempts_won.inc();
+            let other_arrivals = arrivals(&first_result);
             match first_result {
                 Some(first_result) => finish(gateway, first.ticket, &first_result),
                 None => {
@@ -123,7 +122,7 @@
                 index: second.server,
                 entry: second.entry.clone(),
                 result,
-                other_arrivals: u32::from(first.is_sent.load(atomic::Ordering::Relaxed)),
+                other_arrivals,
             }
         }
         (_, first_result, second_result) => {
@@ -134,7 +133,7 @@
             let result = first_result.unwrap_or(Err(error::Error::Withdrawn));
             record_first(first, &result, started);
             Finished {
-                other_arrivals: u32::from(is_second_sent.load(atomic::Ordering::Relaxed)),
+                other_arrivals: arrivals(&second_result),
                 ..Finished::alone(first, result)
             }
         }
@@ -181,6 +180,13 @@
     }
 }
 
+/// Backend servers that got the request in an attempt; one that was cancelled may have reached its
+/// server.
+fn arrivals(result: &Option<AttemptResult>) -> u32 {
+    let reached = |result| outcome(result).reached_server();
+    u32::from(result.as_ref().is_none_or(reached))
+}
+
 /// Ends the attempt whose result does not count.
 fn finish(gateway: &gateway::Gateway, ticket: decisions::Ticket, result: &AttemptResult) {
     let signals = result.as_ref().ok().map(|received| received.signals);
@@ -221,8 +227,10 @@
         earlier_arrivals: u32,
     ) -> Option<time::Duration> {
         let may_repeat = req.route.is_idempotent && earlier_arrivals + 2 <= req.route.attempts;
+        // Both attempts would count against the quota, of which the request has one token.
+        let has_quota = req.customer.as_ref().is_some_and(|customer| customer.quota.is_some());
         let delay = self.lock().hedger.delay(&req.service, &req.route.name);
-        delay.filter(|_| may_repeat && !self.is_stopping())
+        delay.filter(|_| may_repeat && !has_quota && !self.is_stopping())
     }
 
     /// Begins a second attempt of a request whose first one is in progress at `first`.
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -3,8 +3,8 @@
 use std::{collections, time};
 
 use super::{
-    admission, fairness, outcome, placement, policy, remote_in_flight, request, retry_budget,
-    send_shares, server, server_set, service_times, signal_book, signals,
+    admission, fairness, outcome, placement, policy, remote_in_flight, request, response_times,
+    retry_budget, send_shares, server, server_set, service_times, signal_book, signals,
 };
 use crate::model;
 
@@ -244,12 +244,12 @@
         let Some(server) = self.servers.get_mut(attempt.server) else {
             return;
         };
-        let Some(duration) = server.record_finished(ticket, outcome, warmup, now) else {
+        let Some(finished) = server.record_finished(ticket, outcome, warmup, now) else {
             return;
         };
         if outcome == outcome::Outcome::Answered {
             let route = &attempt.req.route;
-            service_times::record_response(&mut self.times, server, route, duration, now);
+            response_times::record(&mut self.times, server, route, finished, now);
         }
     }
 
@@ -288,6 +288,9 @@
         if let Some(requests) = signals.load {
             server.record_report(requests, now);
         }
+        if let Some(slowdown) = signals.slowdown {
+            server.machine_pace.record(slowdown, now);
+        }
         let (name, incarnation) = (server.name_hash, attempt.incarnation);
         let pause = signals.pause.is_some_and(|pause| server.pause(pause, now));
         let change = signals::SignalChange {
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 
 mod cold_rate;
 mod crash_book;
+mod customers;
 mod dispatcher;
 mod evacuations;
 mod fairness;
@@ -9,6 +10,7 @@
 mod leaving;
 mod limits;
 mod lookup_balancer;
+mod machine_pace;
 mod members;
 mod outcome;
 mod pauses;
