--- a/crates/node/src/gateway/hedge.rs
+++ b/crates/node/src/gateway/hedge.rs
@@ -228,7 +228,10 @@
     ) -> Option<time::Duration> {
         let may_repeat = req.route.is_idempotent && earlier_arrivals + 2 <= req.route.attempts;
         // Both attempts would count against the quota, of which the request has one token.
-        let has_quota = req.customer.as_ref().is_some_and(|customer| customer.quota.is_some());
+        let has_quota = req
+            .customer
+            .as_ref()
+            .is_some_and(|customer| customer.quota.is_some());
         let delay = self.lock().hedger.delay(&req.service, &req.route.name);
         delay.filter(|_| may_repeat && !has_quota && !self.is_stopping())
     }
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -18,6 +18,7 @@
 mod restored;
 mod retry_budget;
 mod routes;
+mod second_attempt;
 mod server_set;
 mod service_times;
 mod store_readers;
