--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -22,6 +22,7 @@
 mod gateway;
 mod gossip;
 mod header_names;
+mod hedge;
 mod list_watch;
 mod log_limit;
 mod memory;
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -25,6 +25,9 @@
     pub max_shift: f64,
     /// How far the sum over all hosts may exceed a customer's quota.
     pub quota_bounds: quota::Bounds,
+    /// Work that second attempts of slow requests may add, relative to that of first ones; 0 for
+    /// none.
+    pub extra_work: f64,
     /// Bytes that the host may hold for all clients together.
     pub client_memory: usize,
 }
