Take an answer without a valid status for a failure of its server

Cause: hyper hands over any status of three digits from 100 on. An answer of 101, 600 or 999 from a server in trouble was given on to the client; 000, 099, other 1xx, two or four digits and two status lines were refused before.

Change: the connection to a backend server, which both daemons use, takes only 200 to 599; all else ends the attempt as one that may have run: sent again where that is allowed, else 502. The stand-in of `yuccatided` can send 600.

--- a/crates/node/src/backend/connection.rs
+++ b/crates/node/src/backend/connection.rs
@@ -20,6 +20,10 @@
     _open: sync::Arc<()>,
 }
 
+/// First and last status that an answer may have.
+const FIRST_STATUS: u16 = 200;
+const LAST_STATUS: u16 = 599;
+
 /// Number of the next connection.
 static NEXT: atomic::AtomicU64 = atomic::AtomicU64::new(1);
 
@@ -75,7 +79,11 @@
             }
         };
         match sent {
-            Ok(response) => Ok(response),
+            Ok(response) => match response.status().as_u16() {
+                FIRST_STATUS..=LAST_STATUS => Ok(response),
+                // Servers in trouble send 000, 600 or 101.
+                status => Err(Error::Status(status)),
+            },
             Err(mut e) => match e.take_message() {
                 Some(_) => Err(Error::Connect("the connection was closed".to_string())),
                 None => Err(Error::Broken(e.into_error().to_string())),
--- a/crates/node/src/backend/error.rs
+++ b/crates/node/src/backend/error.rs
@@ -20,6 +20,9 @@
     /// The connection broke after bytes were sent.
     #[error("the connection broke: {0}")]
     Broken(String),
+    /// The status is not that of an answer.
+    #[error("the answer has the status {0}")]
+    Status(u16),
     /// The answer belongs to another request.
     #[error("the answer belongs to another request")]
     Crossed,
--- a/crates/node/src/engine/attempt.rs
+++ b/crates/node/src/engine/attempt.rs
@@ -69,6 +69,7 @@
         let cause = match e {
             backend::Error::Shed => return,
             backend::Error::Crossed => "crossed answer",
+            backend::Error::Status(_) => "invalid status",
             backend::Error::TooLarge(_) => "answer too large",
             backend::Error::Broken(_) => "broken connection",
             backend::Error::Connect(_) | backend::Error::Refused | backend::Error::Connections => {
--- a/crates/node/tests/answers.rs
+++ b/crates/node/tests/answers.rs
@@ -12,6 +12,7 @@
 #[case::crossed(backend::Backend::cross_answers)]
 #[case::truncated(backend::Backend::truncate_answers)]
 #[case::lost(backend::Backend::lose_answers)]
+#[case::invalid_status(backend::Backend::invalidate_statuses)]
 #[tokio::test]
 async fn wrong_answer_is_dropped(#[case] fault: fn(&backend::Backend, u32)) {
     let world = common::world("camara", 1).await;
--- a/crates/standins/src/backend/backend.rs
+++ b/crates/standins/src/backend/backend.rs
@@ -92,6 +92,7 @@
                 crossed_answers: 0,
                 truncated_answers: 0,
                 lost_answers: 0,
+                invalid_statuses: 0,
                 runs: Vec::new(),
             })),
             slots: sync::Arc::new(Semaphore::new(cfg.slots as usize)),
@@ -156,6 +157,11 @@
         self.shared.lock().truncated_answers = count;
     }
 
+    /// Lets the next `count` answers have the status 600.
+    pub fn invalidate_statuses(&self, count: u32) {
+        self.shared.lock().invalid_statuses = count;
+    }
+
     /// Runs the next `count` requests and closes their connections without an answer.
     pub fn lose_answers(&self, count: u32) {
         self.shared.lock().lost_answers = count;
@@ -311,6 +317,9 @@
     if let Ok(name) = http::HeaderValue::from_str(&shared.cfg.name) {
         answer.headers_mut().insert(SERVER, name);
     }
+    if take(&mut state.invalid_statuses) {
+        *answer.status_mut() = StatusCode::from_u16(600).expect("hyper sends any three digits");
+    }
     let mut answer = marked(answer, parts);
     if take(&mut state.crossed_answers) {
         let other = http::HeaderValue::from_static("ffffffffffffffffffffffffffffffff");
--- a/crates/standins/src/backend/state.rs
+++ b/crates/standins/src/backend/state.rs
@@ -36,6 +36,8 @@
     pub truncated_answers: u32,
     /// Next answers lost after the run, with the connection closed.
     pub lost_answers: u32,
+    /// Next answers with the status 600.
+    pub invalid_statuses: u32,
     /// Log of runs.
     pub runs: Vec<run::Run>,
 }
