Bound the memory and the connections that clients may hold of a host

Cause: up to 256 KB of each body in progress were kept whatever the host had; what it didn't read stayed in its sockets; connections were accepted up to the descriptors. Bodies that stall while they are sent through held the backend servers, so that an ordinary request was refused for 60 s.

A table of connections, bounded by memory and descriptors, decides which silent or slow connection is closed for another (`steering::clients`, pure). Refusals for lack of memory are 503 with Retry-After before the body is read. Slow bodies that hold a server are broken off when requests are refused for lack of servers.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -5,7 +5,7 @@
 use http::header;
 use yuccatide_steering::{gateway as decisions, matching, model};
 
-use super::{body, error, forward, gateway, response};
+use super::{body, error, forward, gateway, memory, response};
 
 /// Hop-by-hop headers, which are not forwarded.
 const HOP_BY_HOP: [header::HeaderName; 8] = [
@@ -79,7 +79,9 @@
     let keep_alive = keep_alive_timeout(&head.headers);
     let signals =
         (gateway.header_names.signals)(head.status, &head.headers, time::SystemTime::now());
-    match body::read_buffered(incoming)
+    let mut holder = memory::Holder::new(&gateway.memory, &attempt.client_req.client);
+    let may_keep = |_, total| holder.may_keep(total);
+    match body::read_buffered(incoming, may_keep)
         .await
         .map_err(broken_connection)?
     {
@@ -97,7 +99,7 @@
                     .release(index, entry.address, connection, keep_alive);
             }
             Ok(ServerResponse {
-                response: client_response(head, body::full(bytes)),
+                response: client_response(head, body::full(holder.hold(bytes))),
                 outcome,
                 signals,
             })
@@ -113,7 +115,7 @@
                 .req
                 .deadline
                 .saturating_sub(gateway.clock.now());
-            let body = body::prefixed_until(bytes, rest, connection, left);
+            let body = body::prefixed_until(holder.hold(bytes), rest, connection, left);
             Ok(ServerResponse {
                 response: client_response(head, body),
                 outcome,
--- a/crates/node/src/gateway/body.rs
+++ b/crates/node/src/gateway/body.rs
@@ -6,6 +6,8 @@
 use http_body_util::{BodyExt, Full, combinators};
 use hyper::body;
 
+use super::memory;
+
 /// Body of a request to a backend server or of a response to a client.
 pub type Body = combinators::UnsyncBoxBody<Bytes, Box<dyn error::Error + Send + Sync>>;
 
@@ -25,36 +27,47 @@
     Full::new(bytes).map_err(|e| match e {}).boxed_unsync()
 }
 
-/// Reads a body until its end or until it exceeds the buffer size.
-pub(super) async fn read_buffered(mut incoming: body::Incoming) -> Result<ReadBody, hyper::Error> {
+/// Reads a body until its end, until it exceeds the buffer size, or until `may_keep`, which gets the
+/// size of each part and of all so far, allows no more.
+pub(super) async fn read_buffered(
+    mut incoming: body::Incoming,
+    mut may_keep: impl FnMut(usize, usize) -> bool,
+) -> Result<ReadBody, hyper::Error> {
     let mut read = BytesMut::new();
     while let Some(frame) = incoming.frame().await {
-        if let Ok(data) = frame?.into_data() {
-            read.extend_from_slice(&data);
-        }
-        if read.len() > MAX_BUFFERED_BYTES {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        read.extend_from_slice(&data);
+        if !may_keep(data.len(), read.len()) || read.len() > MAX_BUFFERED_BYTES {
             return Ok(ReadBody::Partial(read.freeze(), incoming));
         }
     }
     Ok(ReadBody::Complete(read.freeze()))
 }
 
-/// Body made of `start` and the unread `rest`. `guard` is dropped with it.
-pub(super) fn prefixed<T: Send + Unpin + 'static>(
+/// Body made of `start` and the unread `rest`, with the memory for it.
+pub(super) fn prefixed(
     start: Bytes,
     rest: body::Incoming,
-    guard: T,
+    transfer: Option<memory::Transfer>,
 ) -> Body {
     PrefixedBody {
         start: Some(start),
         rest,
         end: None,
-        _guard: guard,
+        _guard: (),
     }
+    .map_frame(move |frame| {
+        if let (Some(data), Some(transfer)) = (frame.data_ref(), &transfer) {
+            transfer.record(data.len());
+        }
+        frame
+    })
     .boxed_unsync()
 }
 
-/// The same, broken off after `left`: a backend server that sends bytes without end must not hold
+/// Body made of `start` and the unread `rest`. `guard` is dropped with it, and it is broken off after `left`: a backend server that sends bytes without end must not hold
 /// a connection and its client for longer than the client waits.
 pub(super) fn prefixed_until<T: Send + Unpin + 'static>(
     start: Bytes,
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -1,22 +1,27 @@
 //! Forwards a client's request to a backend server and returns the response.
 
-use std::{net, sync, sync::atomic, time};
+use std::{sync, sync::atomic, time};
 
 use http::header;
+use hyper::body::Body as _;
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3;
-use yuccatide_steering::gateway as decisions;
+use yuccatide_steering::{clients, gateway as decisions};
 
-use super::{attempt, body, error, fingerprint, gateway, response};
+use super::{attempt, body, error, fingerprint, gateway, memory, response};
 
 /// Retry-After of a refusal if no estimate of free capacity is available.
 const DEFAULT_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
 
+/// Retry-After of a refusal for lack of memory: slow clients have been closed by then.
+const MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
+
 /// A client's request after its head was read and validated.
 pub(super) struct ClientRequest {
     pub(super) head: http::request::Parts,
     pub(super) id: String,
     pub(super) req: decisions::Request,
+    pub(super) client: sync::Arc<memory::ClientConnection>,
 }
 
 /// Abandons the request if it is dropped while armed, which happens when the client disconnects or
@@ -59,11 +64,12 @@
 pub(super) async fn forward_request(
     gateway: sync::Arc<gateway::Gateway>,
     req: http::Request<hyper::body::Incoming>,
-    client: net::IpAddr,
+    client: sync::Arc<memory::ClientConnection>,
 ) -> response::Response {
+    client.enter(clients::Phase::Receiving);
     let start = time::Instant::now();
     let (head, incoming) = req.into_parts();
-    let (route, mut response) = match prepare(&gateway, head, client) {
+    let (route, mut response) = match prepare(&gateway, head, &client) {
         Ok(client_req) => {
             let route = client_req.req.route.clone();
             (
@@ -81,7 +87,7 @@
         let close = header::HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
-    response
+    response.map(|body| memory::answer(body, &client))
 }
 
 /// Value of the `result` label of a response in the metrics:
@@ -107,7 +113,7 @@
 fn prepare(
     gateway: &gateway::Gateway,
     head: http::request::Parts,
-    client: net::IpAddr,
+    client: &sync::Arc<memory::ClientConnection>,
 ) -> Result<ClientRequest, Box<response::Response>> {
     let now = gateway.clock.now();
     let host_name = head
@@ -146,7 +152,8 @@
         .and_then(|text| text.trim().parse().ok())
         .map_or(route.timeout, time::Duration::from_millis);
     let object = gateway.header_names.object_name(&head.headers);
-    let (service, is_client_retry) = gateway.assign_service(&route, client, requested_timeout);
+    let (service, is_client_retry) =
+        gateway.assign_service(&route, client.address(), requested_timeout);
     let req = decisions::Request {
         service,
         object_hash: object
@@ -159,7 +166,12 @@
         customer: None,
         route,
     };
-    Ok(ClientRequest { head, id, req })
+    Ok(ClientRequest {
+        head,
+        id,
+        req,
+        client: sync::Arc::clone(client),
+    })
 }
 
 /// Hash of an object's name. Equal names on different routes yield different keys.
@@ -255,7 +267,20 @@
     incoming: hyper::body::Incoming,
     progress: &mut Progress,
 ) -> response::Response {
-    let read = match body::read_buffered(incoming).await {
+    let mut holder = memory::Holder::new(&gateway.memory, &client_req.client);
+    let mut transfer = None;
+    if !is_small(&incoming) {
+        transfer = holder.reserve_transfer().await;
+        if transfer.is_none() {
+            let reason = decisions::Reason::Memory;
+            return give_up(gateway, &client_req, progress, reason, MEMORY_RETRY_AFTER);
+        }
+    }
+    let may_keep = |bytes, total| {
+        client_req.client.record(bytes);
+        holder.may_keep(total)
+    };
+    let read = match body::read_buffered(incoming, may_keep).await {
         Ok(read) => read,
         Err(e) => {
             log::debug!(request = client_req.id, error:% = e; "failed to read a request body");
@@ -266,9 +291,14 @@
         body::ReadBody::Complete(bytes) => (bytes, None),
         body::ReadBody::Partial(bytes, rest) => (bytes, Some(rest)),
     };
+    client_req.client.enter(clients::Phase::Working);
     let is_body_buffered = rest.is_none();
+    if is_body_buffered {
+        drop(transfer.take());
+    }
     let object = gateway.header_names.object_name(&client_req.head.headers);
     let fingerprint = fingerprint::fingerprint(&client_req.head, object, &bytes);
+    let mut start = Some(holder.hold(bytes));
     loop {
         if let Some((reason, retry_after)) = why_not_sent(gateway, &client_req, fingerprint) {
             return give_up(gateway, &client_req, progress, reason, retry_after);
@@ -292,8 +322,11 @@
             return give_up(gateway, &client_req, progress, reason, retry_after);
         }
         let body = match rest.take() {
-            None => body::full(bytes.clone()),
-            Some(rest) => body::prefixed(bytes.clone(), rest, ()),
+            None => body::full(start.clone().unwrap_or_default()),
+            Some(rest) => {
+                client_req.client.enter(clients::Phase::Streaming);
+                body::prefixed(start.take().unwrap_or_default(), rest, transfer.take())
+            }
         };
         let attempt = attempt::Attempt {
             gateway,
@@ -362,6 +395,12 @@
     }
 }
 
+/// Whether a body is part of what every connection is counted with.
+fn is_small(body: &hyper::body::Incoming) -> bool {
+    let largest = body.size_hint().upper();
+    largest.is_some_and(|bytes| bytes <= memory::SMALL_BODY_BYTES as u64)
+}
+
 /// Why a request must not be sent now, with the time after which it may be, if there is a reason.
 fn why_not_sent(
     gateway: &gateway::Gateway,
@@ -454,6 +493,9 @@
 ) -> response::Response {
     let now = gateway.clock.now();
     gateway.metrics.record_refusal(reason);
+    if reason == decisions::Reason::Overload {
+        gateway.clients.record_shortage_of_servers();
+    }
     if let Some(omitted) = gateway.admit_log_line("refusal") {
         log::info!(
             request = client_req.id, route = client_req.req.route.name,
--- a/crates/node/src/gateway/frontend.rs
+++ b/crates/node/src/gateway/frontend.rs
@@ -7,7 +7,7 @@
 use tokio::net::TcpListener;
 use tokio_util::sync as tokio_sync;
 
-use super::{activity, body as bodies, forward, gateway};
+use super::{activity, body as bodies, forward, gateway, memory, report};
 
 /// Delay after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(50);
@@ -60,7 +60,17 @@
             match accepted {
                 Ok((stream, peer)) => {
                     let gateway = sync::Arc::clone(&self.gateway);
-                    tasks.spawn(serve_connection(stream, peer, gateway, close.clone()));
+                    let Some(client) = gateway.clients.open(peer.ip()) else {
+                        report::client_refused(&gateway, peer);
+                        continue;
+                    };
+                    tasks.spawn(serve_connection(
+                        stream,
+                        peer,
+                        client,
+                        gateway,
+                        close.clone(),
+                    ));
                 }
                 Err(e) => {
                     log::warn!(error:% = e; "failed to accept a client connection");
@@ -78,20 +88,24 @@
 async fn serve_connection(
     stream: tokio::net::TcpStream,
     peer: net::SocketAddr,
+    client: memory::ClientConnection,
     gateway: sync::Arc<gateway::Gateway>,
     close: tokio_sync::CancellationToken,
 ) {
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(client:% = peer, error:% = e; "failed to set TCP_NODELAY");
     }
+    let client = sync::Arc::new(client);
+    let handler_client = sync::Arc::clone(&client);
     let activity = sync::Arc::new(activity::Activity::new());
     let handler_activity = sync::Arc::clone(&activity);
     let handler_gateway = sync::Arc::clone(&gateway);
     let service = service::service_fn(move |req: http::Request<body::Incoming>| {
         let in_progress = handler_activity.begin_request();
         let handler_gateway = sync::Arc::clone(&handler_gateway);
+        let handler_client = sync::Arc::clone(&handler_client);
         async move {
-            let response = forward::forward_request(handler_gateway, req, peer.ip()).await;
+            let response = forward::forward_request(handler_gateway, req, handler_client).await;
             drop(in_progress);
             Ok::<http::Response<bodies::Body>, convert::Infallible>(response)
         }
@@ -116,6 +130,10 @@
                 }
                 return;
             }
+            () = client.closed() => {
+                report::client_closed(&gateway, peer);
+                return;
+            }
             () = close.cancelled(), if !is_closing => {
                 is_closing = true;
                 connection.as_mut().graceful_shutdown();
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -39,6 +39,8 @@
     log_limiter: log_limit::LogLimiter,
     /// Memory for what clients send and for answers that they have not read.
     pub(super) memory: sync::Arc<memory::MemoryBudget>,
+    /// Open connections of clients.
+    pub(super) clients: sync::Arc<memory::ClientConnections>,
     /// Availability and newest known revisions of the platform's store.
     pub store_state: store_state::StoreState,
     /// Counters, histograms and gauges.
@@ -93,6 +95,10 @@
             connection_pool: connection_pool::ConnectionPool::default(),
             log_limiter: log_limit::LogLimiter::default(),
             memory: sync::Arc::new(memory::MemoryBudget::new(settings.client_memory)),
+            clients: sync::Arc::new(memory::ClientConnections::new(
+                settings.client_connections,
+                clock,
+            )),
             store_state: store_state::StoreState::default(),
             metrics: metrics::Metrics::new(),
             own_data_centre,
@@ -206,6 +212,8 @@
                 state.crash_book.expire(now);
                 state.update_shares(&self.settings, now);
                 report::update_gauges(&self.metrics, &state, &self.store_state, now);
+                report::update_client_gauges(self);
+                self.clients.free_servers();
             }
             if state.dispatcher.has_waiting() {
                 self.decide(&mut state, now);
--- a/crates/node/src/gateway/memory/memory_budget.rs
+++ b/crates/node/src/gateway/memory/memory_budget.rs
@@ -37,6 +37,16 @@
         reservation.try_grow(bytes).then_some(reservation)
     }
 
+    /// The same for bytes that are kept for another attempt or until they are read, which may take
+    /// half of the budget.
+    pub(in super::super) fn try_reserve_kept(
+        self: &sync::Arc<MemoryBudget>,
+        bytes: usize,
+    ) -> Option<Reservation> {
+        let mut reservation = self.try_reserve(0)?;
+        reservation.try_keep(bytes).then_some(reservation)
+    }
+
     /// Bytes that are reserved.
     pub(in super::super) fn used(&self) -> usize {
         self.used.load(atomic::Ordering::Relaxed)
@@ -46,8 +56,16 @@
 impl Reservation {
     /// Adds `bytes`; returns false, and adds none, if less than that is left.
     pub(in super::super) fn try_grow(&mut self, bytes: usize) -> bool {
+        self.try_grow_within(bytes, self.budget.limit)
+    }
+
+    /// The same for bytes that are kept.
+    pub(in super::super) fn try_keep(&mut self, bytes: usize) -> bool {
+        self.try_grow_within(bytes, self.budget.limit / 2)
+    }
+
+    fn try_grow_within(&mut self, bytes: usize, limit: usize) -> bool {
         let order = atomic::Ordering::Relaxed;
-        let limit = self.budget.limit;
         let has_grown = self.budget.used.fetch_update(order, order, |used| {
             used.checked_add(bytes).filter(|sum| *sum <= limit)
         });
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -89,6 +89,10 @@
     pub(super) send_delay: histogram::Histogram,
     pub(super) cold_attempts: counter::Counter,
     pub(super) omitted_lines: counter::Counter,
+    pub(super) client_memory: gauge::Gauge,
+    pub(super) client_connections: gauge::Gauge,
+    pub(super) clients_closed: counter::Counter,
+    pub(super) clients_refused: counter::Counter,
 }
 
 impl Metrics {
@@ -122,8 +126,13 @@
             store_answers: gauge::Gauge::default(),
             store_era: gauge::Gauge::default(),
             omitted_lines: counter::Counter::default(),
+            client_memory: gauge::Gauge::default(),
+            client_connections: gauge::Gauge::default(),
+            clients_closed: counter::Counter::default(),
+            clients_refused: counter::Counter::default(),
         };
         metrics.register();
+        metrics.register_clients();
         metrics
     }
 
@@ -245,6 +254,30 @@
         );
     }
 
+    fn register_clients(&mut self) {
+        let registry = &mut self.registry;
+        registry.register(
+            "client_memory_bytes",
+            "Memory reserved for what clients send and for answers that they have not read",
+            self.client_memory.clone(),
+        );
+        registry.register(
+            "client_connections",
+            "Open connections of clients",
+            self.client_connections.clone(),
+        );
+        registry.register(
+            "client_connections_closed",
+            "Connections of clients closed for lack of memory, descriptors or free servers",
+            self.clients_closed.clone(),
+        );
+        registry.register(
+            "client_connections_refused",
+            "Connections of clients that were not accepted, since there were too many",
+            self.clients_refused.clone(),
+        );
+    }
+
     /// Encodes the metrics as text.
     pub fn text(&self) -> Result<String, fmt::Error> {
         let mut text = String::new();
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -1,6 +1,6 @@
 //! Log lines and gauges of what a host believes and does.
 
-use std::time;
+use std::{net, time};
 
 use yuccatide_steering::{gateway as decisions, model};
 
@@ -147,3 +147,26 @@
         .store_answers
         .set(i64::from(servers.is_store_available()));
 }
+
+/// Logs a connection that was closed for lack of memory, descriptors or free servers.
+pub(super) fn client_closed(gateway: &gateway::Gateway, peer: net::SocketAddr) {
+    gateway.metrics.clients_closed.inc();
+    if let Some(omitted) = gateway.admit_log_line("client") {
+        log::warn!(client:% = peer, omitted; "slow or silent client connection closed for others");
+    }
+}
+
+/// Logs a connection that was not accepted.
+pub(super) fn client_refused(gateway: &gateway::Gateway, peer: net::SocketAddr) {
+    gateway.metrics.clients_refused.inc();
+    if let Some(omitted) = gateway.admit_log_line("client") {
+        log::warn!(client:% = peer, omitted; "too many client connections; not accepted");
+    }
+}
+
+/// Sets the gauges of what clients hold.
+pub(super) fn update_client_gauges(gateway: &gateway::Gateway) {
+    let metrics = &gateway.metrics;
+    metrics.client_memory.set(gateway.memory.used() as i64);
+    metrics.client_connections.set(gateway.clients.len() as i64);
+}
--- a/crates/node/src/gateway/settings.rs
+++ b/crates/node/src/gateway/settings.rs
@@ -25,4 +25,6 @@
     pub max_shift: f64,
     /// Bytes that the host may hold for all clients together.
     pub client_memory: usize,
+    /// Connections of clients that the host keeps open.
+    pub client_connections: usize,
 }
--- a/crates/steering/src/gateway/outcome.rs
+++ b/crates/steering/src/gateway/outcome.rs
@@ -48,6 +48,8 @@
     Stopping,
     /// Backend servers crash under it.
     CrashesServers,
+    /// The host has no memory left for its body.
+    Memory,
 }
 
 impl Reason {
@@ -62,6 +64,7 @@
             Reason::Budget => "budget",
             Reason::Stopping => "stopping",
             Reason::CrashesServers => "crashes-servers",
+            Reason::Memory => "memory",
         }
     }
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admin;
 pub mod admission;
 pub mod capacity;
+pub mod clients;
 pub mod config;
 pub mod customers;
 pub mod dedup;
