--- a/crates/node/src/serve/server.rs
+++ b/crates/node/src/serve/server.rs
@@ -36,12 +36,29 @@
         listener: tokio_net::TcpListener,
         handle: impl Fn(http::Request<body::Incoming>, net::SocketAddr) -> F + Send + Sync + 'static,
     ) -> io::Result<Server>
+    where
+        F: future::Future<Output = Reply> + Send + 'static,
+    {
+        Server::start_bounded(listener, MAX_CONNECTIONS, handle)
+    }
+
+    /// The same for at most `max_connections` at once.
+    pub fn start_bounded<F>(
+        listener: tokio_net::TcpListener,
+        max_connections: usize,
+        handle: impl Fn(http::Request<body::Incoming>, net::SocketAddr) -> F + Send + Sync + 'static,
+    ) -> io::Result<Server>
     where
         F: future::Future<Output = Reply> + Send + 'static,
     {
         let addr = listener.local_addr()?;
         let stop = tokio_sync::CancellationToken::new();
-        let task = tokio::spawn(accept(listener, sync::Arc::new(handle), stop.clone()));
+        let task = tokio::spawn(accept(
+            listener,
+            max_connections,
+            sync::Arc::new(handle),
+            stop.clone(),
+        ));
         Ok(Server {
             addr,
             stop,
@@ -63,6 +80,7 @@
 
 async fn accept<H, F>(
     listener: tokio_net::TcpListener,
+    max_connections: usize,
     handle: sync::Arc<H>,
     stop: tokio_sync::CancellationToken,
 ) where
@@ -70,7 +88,7 @@
     F: future::Future<Output = Reply> + Send + 'static,
 {
     let watcher = graceful::GracefulShutdown::new();
-    let permits = sync::Arc::new(tokio::sync::Semaphore::new(MAX_CONNECTIONS));
+    let permits = sync::Arc::new(tokio::sync::Semaphore::new(max_connections));
     // Connections end with the server.
     let mut connections = tokio::task::JoinSet::new();
     loop {
