--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -1,18 +1,22 @@
 //! Forwards a client's request to a backend server and returns the response.
 
-use std::{net, sync, sync::atomic, time};
+use std::{sync, sync::atomic, time};
 
 use bytes::Bytes;
 use http::header;
+use hyper::body::Body as _;
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3;
-use yuccatide_steering::gateway as decisions;
+use yuccatide_steering::{clients, gateway as decisions};
 
-use super::{attempt, authentication, body, error, fingerprint, gateway, hedge, response};
+use super::{attempt, authentication, body, error, fingerprint, gateway, hedge, memory, response};
 
 /// Retry-After of a refusal if no estimate of free capacity is available.
 const DEFAULT_RETRY_AFTER: time::Duration = time::Duration::from_millis(100);
 
+/// Retry-After of a refusal for lack of memory: slow clients have been closed by then.
+const MEMORY_RETRY_AFTER: time::Duration = time::Duration::from_millis(500);
+
 /// A client's request after its head was read and validated.
 pub(super) struct ClientRequest {
     pub(super) head: http::request::Parts,
@@ -20,6 +24,7 @@
     /// Name of the customer, as backend servers get it.
     pub(super) customer_name: Option<header::HeaderValue>,
     pub(super) req: decisions::Request,
+    pub(super) client: sync::Arc<memory::ClientConnection>,
 }
 
 /// Abandons the request if it is dropped while armed, which happens when the client disconnects or
@@ -64,10 +69,10 @@
     gateway: sync::Arc<gateway::Gateway>,
     head: http::request::Parts,
     incoming: Option<hyper::body::Incoming>,
-    client: net::IpAddr,
+    client: sync::Arc<memory::ClientConnection>,
 ) -> response::Response {
     let start = time::Instant::now();
-    let (route, customer, response) = match prepare(&gateway, head, client) {
+    let (route, customer, response) = match prepare(&gateway, head, &client) {
         Ok(client_req) => {
             let (route, customer) = (
                 client_req.req.route.clone(),
@@ -116,7 +121,7 @@
 fn prepare(
     gateway: &gateway::Gateway,
     mut head: http::request::Parts,
-    client: net::IpAddr,
+    client: &sync::Arc<memory::ClientConnection>,
 ) -> Result<ClientRequest, Box<response::Response>> {
     let now = gateway.clock.now();
     let host_name = head
@@ -163,8 +168,12 @@
         .map_or(route.timeout, time::Duration::from_millis);
     let object = names.object_name(&head.headers);
     let customer = identity.customer;
-    let (service, is_client_retry) =
-        gateway.assign_service(&route, customer.as_deref(), client, requested_timeout);
+    let (service, is_client_retry) = gateway.assign_service(
+        &route,
+        customer.as_deref(),
+        client.address(),
+        requested_timeout,
+    );
     let req = decisions::Request {
         service,
         object_hash: object
@@ -182,6 +191,7 @@
         id,
         customer_name: identity.name,
         req,
+        client: sync::Arc::clone(client),
     })
 }
 
@@ -297,8 +307,24 @@
     incoming: Option<hyper::body::Incoming>,
     progress: &mut Progress,
 ) -> response::Response {
+    let mut holder = memory::Holder::new(&gateway.memory, &client_req.client);
+    let mut transfer = None;
+    if incoming
+        .as_ref()
+        .is_some_and(|incoming| !is_small(incoming))
+    {
+        transfer = holder.reserve_transfer().await;
+        if transfer.is_none() {
+            let reason = decisions::Reason::Memory;
+            return give_up(gateway, &client_req, progress, reason, MEMORY_RETRY_AFTER);
+        }
+    }
+    let may_keep = |bytes, total| {
+        client_req.client.record(bytes);
+        holder.may_keep(total)
+    };
     let read = match incoming {
-        Some(incoming) => body::read_buffered(incoming).await,
+        Some(incoming) => body::read_buffered(incoming, may_keep).await,
         None => Ok(body::ReadBody::Complete(Bytes::new())),
     };
     let read = match read {
@@ -312,11 +338,16 @@
         body::ReadBody::Complete(bytes) => (bytes, None),
         body::ReadBody::Partial(bytes, rest) => (bytes, Some(rest)),
     };
+    client_req.client.enter(clients::Phase::Working);
     let is_body_buffered = rest.is_none();
+    if is_body_buffered {
+        drop(transfer.take());
+    }
     let object = gateway.header_names.object_name(&client_req.head.headers);
     let customer = client_req.req.customer.as_ref();
     let customer = customer.map(|customer| customer.name.as_str());
     let fingerprint = fingerprint::fingerprint(&client_req.head, customer, object, &bytes);
+    let bytes = holder.hold(bytes);
     loop {
         if let Some((reason, retry_after)) = why_not_sent(gateway, &client_req, fingerprint) {
             return give_up(gateway, &client_req, progress, reason, retry_after);
@@ -352,7 +383,8 @@
         let finished = match rest.take() {
             None => hedge::send(&attempt, &bytes, progress.arrivals).await,
             Some(rest) => {
-                let body = body::prefixed(bytes.clone(), rest, ());
+                client_req.client.enter(clients::Phase::Streaming);
+                let body = body::prefixed(bytes.clone(), rest, transfer.take());
                 hedge::Finished::alone(&attempt, attempt::send(&attempt, body).await)
             }
         };
@@ -419,6 +451,12 @@
     }
 }
 
+/// Whether a body is part of what every connection is counted with.
+fn is_small(body: &hyper::body::Incoming) -> bool {
+    let largest = body.size_hint().upper();
+    largest.is_some_and(|bytes| bytes <= memory::SMALL_BODY_BYTES as u64)
+}
+
 /// Why a request must not be sent now, with the time after which it may be, if there is a reason.
 fn why_not_sent(
     gateway: &gateway::Gateway,
@@ -511,6 +549,9 @@
 ) -> response::Response {
     let now = gateway.clock.now();
     gateway.metrics.record_refusal(reason);
+    if reason == decisions::Reason::Overload {
+        gateway.clients.record_shortage_of_servers();
+    }
     if let Some(omitted) = gateway.admit_log_line("refusal") {
         log::info!(
             request = client_req.id, route = client_req.req.route.name,
--- a/crates/node/src/gateway/frontend.rs
+++ b/crates/node/src/gateway/frontend.rs
@@ -6,8 +6,9 @@
 use hyper_util::rt;
 use tokio::net::TcpListener;
 use tokio_util::sync as tokio_sync;
+use yuccatide_steering::clients;
 
-use super::{activity, body as bodies, forward, gateway, pipeline};
+use super::{activity, body as bodies, forward, gateway, memory, pipeline, report};
 
 /// Delay after a failed accept, which usually means that file descriptors ran out.
 const ACCEPT_BACKOFF: time::Duration = time::Duration::from_millis(50);
@@ -60,7 +61,17 @@
             match accepted {
                 Ok((stream, peer)) => {
                     let gateway = sync::Arc::clone(&self.gateway);
-                    tasks.spawn(serve_connection(stream, peer, gateway, close.clone()));
+                    let Some(client) = gateway.clients.open(peer.ip()) else {
+                        report::client_refused(&gateway, peer);
+                        continue;
+                    };
+                    tasks.spawn(serve_connection(
+                        stream,
+                        peer,
+                        client,
+                        gateway,
+                        close.clone(),
+                    ));
                 }
                 Err(e) => {
                     log::warn!(error:% = e; "failed to accept a client connection");
@@ -78,34 +89,45 @@
 async fn serve_connection(
     stream: tokio::net::TcpStream,
     peer: net::SocketAddr,
+    client: memory::ClientConnection,
     gateway: sync::Arc<gateway::Gateway>,
     close: tokio_sync::CancellationToken,
 ) {
     if let Err(e) = stream.set_nodelay(true) {
         log::debug!(client:% = peer, error:% = e; "failed to set TCP_NODELAY");
     }
+    let client = sync::Arc::new(client);
+    let handler_client = sync::Arc::clone(&client);
     let activity = sync::Arc::new(activity::Activity::new());
     let handler_activity = sync::Arc::clone(&activity);
     let handler_gateway = sync::Arc::clone(&gateway);
     let pipeline = sync::Arc::new(pipeline::Connection::new(
         sync::Arc::clone(&gateway),
-        peer.ip(),
+        sync::Arc::clone(&client),
     ));
     let handler_pipeline = sync::Arc::clone(&pipeline);
     let service = service::service_fn(move |req: http::Request<body::Incoming>| {
         let in_progress = handler_activity.begin_request();
         let handler_gateway = sync::Arc::clone(&handler_gateway);
+        let handler_client = sync::Arc::clone(&handler_client);
         let pipeline = sync::Arc::clone(&handler_pipeline);
         let (head, body) = req.into_parts();
         let started = pipeline.begin_request(&head);
         async move {
+            let client = sync::Arc::clone(&handler_client);
             let response = match started {
-                Some(started) => started.answer().await,
+                Some(started) => {
+                    client.enter(clients::Phase::Working);
+                    started.answer().await
+                }
                 None => {
-                    forward::forward_request(handler_gateway, head, Some(body), peer.ip()).await
+                    client.enter(clients::Phase::Receiving);
+                    forward::forward_request(handler_gateway, head, Some(body), handler_client)
+                        .await
                 }
             };
             let response = pipeline.end_request(response);
+            let response = response.map(|body| memory::answer(body, &client));
             drop(in_progress);
             Ok::<http::Response<bodies::Body>, convert::Infallible>(response)
         }
@@ -131,6 +153,10 @@
                 }
                 return;
             }
+            () = client.closed() => {
+                report::client_closed(&gateway, peer);
+                return;
+            }
             () = close.cancelled(), if !is_closing => {
                 is_closing = true;
                 if pipeline.begin_close() {
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -40,6 +40,8 @@
     /// Memory for what clients send and for answers that they have not read.
     pub(super) memory: sync::Arc<memory::MemoryBudget>,
     pub(super) quotas: quota::Quotas,
+    /// Open connections of clients.
+    pub(super) clients: sync::Arc<memory::ClientConnections>,
     /// Availability and newest known revisions of the platform's store.
     pub store_state: store_state::StoreState,
     /// Counters, histograms and gauges.
@@ -96,6 +98,10 @@
             log_limiter: log_limit::LogLimiter::default(),
             memory: sync::Arc::new(memory::MemoryBudget::new(settings.client_memory)),
             quotas: quota::Quotas::new(settings.quota_bounds),
+            clients: sync::Arc::new(memory::ClientConnections::new(
+                settings.client_connections,
+                clock,
+            )),
             store_state: store_state::StoreState::default(),
             metrics: metrics::Metrics::new(),
             own_data_centre,
@@ -215,6 +221,8 @@
                 state.update_shares(&self.settings, now);
                 report::update_gauges(&self.metrics, &state, &self.store_state, now);
                 report::quota_parts(&self.metrics, &state, &self.quotas);
+                report::update_client_gauges(self);
+                self.clients.free_servers();
             }
             self.quotas.poll(now);
             if state.dispatcher.has_waiting() {
--- a/crates/node/src/gateway/memory/memory_budget.rs
+++ b/crates/node/src/gateway/memory/memory_budget.rs
@@ -37,13 +37,14 @@
         reservation.try_grow(bytes).then_some(reservation)
     }
 
-    /// Reserves a part for what can wait; `None` if less than half of the budget would be left.
-    pub(in super::super) fn try_reserve_optional(
+    /// The same for bytes that are kept for another attempt or until they are read, which may take
+    /// half of the budget.
+    pub(in super::super) fn try_reserve_kept(
         self: &sync::Arc<MemoryBudget>,
         bytes: usize,
     ) -> Option<Reservation> {
-        let is_half_left = self.used().saturating_add(bytes) <= self.limit / 2;
-        is_half_left.then(|| self.try_reserve(bytes)).flatten()
+        let mut reservation = self.try_reserve(0)?;
+        reservation.try_keep(bytes).then_some(reservation)
     }
 
     /// Bytes that are reserved.
@@ -55,8 +56,16 @@
 impl Reservation {
     /// Adds `bytes`; returns false, and adds none, if less than that is left.
     pub(in super::super) fn try_grow(&mut self, bytes: usize) -> bool {
+        self.try_grow_within(bytes, self.budget.limit)
+    }
+
+    /// The same for bytes that are kept.
+    pub(in super::super) fn try_keep(&mut self, bytes: usize) -> bool {
+        self.try_grow_within(bytes, self.budget.limit / 2)
+    }
+
+    fn try_grow_within(&mut self, bytes: usize, limit: usize) -> bool {
         let order = atomic::Ordering::Relaxed;
-        let limit = self.budget.limit;
         let has_grown = self.budget.used.fetch_update(order, order, |used| {
             used.checked_add(bytes).filter(|sum| *sum <= limit)
         });
--- a/crates/node/src/gateway/pipeline/connection.rs
+++ b/crates/node/src/gateway/pipeline/connection.rs
@@ -1,17 +1,17 @@
 //! What the reader of a client's connection and the handler of its requests share.
 
-use std::{io, net, sync, task};
+use std::{io, sync, task};
 
 use http::{header, request};
 use tokio::{io::ReadBuf, net::TcpStream};
 
 use super::{guarded_body, reader, started_request};
-use crate::gateway::{gateway, response};
+use crate::gateway::{gateway, memory, response};
 
 /// A client's connection whose requests are started before it is their turn.
 pub(in crate::gateway) struct Connection {
     gateway: sync::Arc<gateway::Gateway>,
-    client: net::IpAddr,
+    client: sync::Arc<memory::ClientConnection>,
     reader: sync::Mutex<reader::Reader>,
 }
 
@@ -22,7 +22,7 @@
     /// State of a connection that was just accepted.
     pub(in crate::gateway) fn new(
         gateway: sync::Arc<gateway::Gateway>,
-        client: net::IpAddr,
+        client: sync::Arc<memory::ClientConnection>,
     ) -> Connection {
         Connection {
             gateway,
@@ -39,7 +39,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> task::Poll<io::Result<()>> {
         let mut reader = self.lock();
-        reader.poll_read(&self.gateway, self.client, stream, cx, buf)
+        reader.poll_read(&self.gateway, &self.client, stream, cx, buf)
     }
 
     /// Begins the request that was read last; returns it if it was started before.
@@ -50,7 +50,7 @@
         let started = self.lock().begin_request(head)?;
         let is_same = started.is_for(head);
         if !is_same {
-            log::error!(client:% = self.client; "a request was read in two ways; sent again");
+            log::error!(client:% = self.client.address(); "a request was read in two ways; sent again");
         }
         is_same.then_some(started)
     }
--- a/crates/node/src/gateway/pipeline/reader.rs
+++ b/crates/node/src/gateway/pipeline/reader.rs
@@ -1,6 +1,6 @@
 //! Reads a client's requests and starts those that need not wait for their turn.
 
-use std::{collections, future::Future, io, mem, net, pin, sync, task, time};
+use std::{collections, future::Future, io, mem, pin, sync, task, time};
 
 use bytes::{Buf, BytesMut};
 use http::{header, request};
@@ -82,7 +82,7 @@
     pub(super) fn poll_read(
         &mut self,
         gateway: &sync::Arc<gateway::Gateway>,
-        client: net::IpAddr,
+        client: &sync::Arc<memory::ClientConnection>,
         stream: &mut TcpStream,
         cx: &mut task::Context<'_>,
         buf: &mut ReadBuf<'_>,
@@ -145,7 +145,7 @@
             return CHUNK_BYTES;
         }
         if self.reservation.is_none() {
-            self.reservation = gateway.memory.try_reserve_optional(MAX_HELD_BYTES);
+            self.reservation = gateway.memory.try_reserve_kept(MAX_HELD_BYTES);
         }
         match self.reservation {
             Some(_) => MAX_HELD_BYTES.saturating_sub(self.held.len()),
@@ -259,12 +259,16 @@
     }
 
     /// Starts the requests among the held bytes that need not wait for their turn.
-    fn start_ahead(&mut self, gateway: &sync::Arc<gateway::Gateway>, client: net::IpAddr) {
+    fn start_ahead(
+        &mut self,
+        gateway: &sync::Arc<gateway::Gateway>,
+        client: &sync::Arc<memory::ClientConnection>,
+    ) {
         while self.may_start_next(gateway)
             && let Some((head, length)) = self.next_idempotent(gateway)
         {
             let reserved = started_request::StartedRequest::RESERVED_BYTES;
-            let Some(reservation) = gateway.memory.try_reserve_optional(reserved) else {
+            let Some(reservation) = gateway.memory.try_reserve_kept(reserved) else {
                 self.log_limit(gateway, client, "memory of the host");
                 return;
             };
@@ -318,14 +322,19 @@
     }
 
     /// Logs once for each connection that requests wait for their turn.
-    fn log_limit(&mut self, gateway: &gateway::Gateway, client: net::IpAddr, limit: &str) {
+    fn log_limit(
+        &mut self,
+        gateway: &gateway::Gateway,
+        client: &sync::Arc<memory::ClientConnection>,
+        limit: &str,
+    ) {
         if self.has_logged_limit {
             return;
         }
         self.has_logged_limit = true;
         if let Some(omitted) = gateway.admit_log_line("pipelining") {
             log::info!(
-                client:% = client, limit, started = self.started.len(), omitted;
+                client:% = client.address(), limit, started = self.started.len(), omitted;
                 "no further request of a connection is started ahead"
             );
         }
--- a/crates/node/src/gateway/pipeline/started_request.rs
+++ b/crates/node/src/gateway/pipeline/started_request.rs
@@ -1,9 +1,6 @@
 //! A request that was started ahead of its turn, with its answer.
 
-use std::{
-    net,
-    sync::{self, atomic},
-};
+use std::sync::{self, atomic};
 
 use http::request;
 use hyper::body::Body;
@@ -35,17 +32,19 @@
         gateway: &sync::Arc<gateway::Gateway>,
         head: request::Parts,
         length: usize,
-        client: net::IpAddr,
+        client: &sync::Arc<memory::ClientConnection>,
         mut reservation: memory::Reservation,
     ) -> StartedRequest {
         gateway.metrics.started_ahead.inc();
         gateway.metrics.ahead_in_progress.inc();
         let guard = CountGuard(sync::Arc::clone(gateway));
         let held_bytes = sync::Arc::new(atomic::AtomicUsize::new(Self::RESERVED_BYTES));
+        let task_client = sync::Arc::clone(client);
         let (task_bytes, task_head) = (sync::Arc::clone(&held_bytes), head.clone());
         let task_gateway = sync::Arc::clone(gateway);
         let task = tokio::spawn(async move {
-            let response = forward::forward_request(task_gateway, task_head, None, client).await;
+            let response =
+                forward::forward_request(task_gateway, task_head, None, task_client).await;
             drop(guard);
             let size = response.body().size_hint().exact();
             let size = size.map_or(MAX_ANSWER_BYTES, |size| size as usize);
--- a/crates/steering/src/gateway/outcome.rs
+++ b/crates/steering/src/gateway/outcome.rs
@@ -52,6 +52,8 @@
     OverQuota,
     /// No host has answered that holds more of the quota of its customer.
     QuotaUnknown,
+    /// The host has no memory left for its body.
+    Memory,
 }
 
 impl Reason {
@@ -68,6 +70,7 @@
             Reason::CrashesServers => "crashes-servers",
             Reason::OverQuota => "over-quota",
             Reason::QuotaUnknown => "quota-unknown",
+            Reason::Memory => "memory",
         }
     }
 }
