Lose fewer tokens of large quotas that are nearly used up

A holder that had too few tokens was not asked for 0.25 s while its bucket, which holds less, ran over; and parts on hosts without demand were lost.

A holder is now asked again when half of its bucket is full, and of what lies above 40 requests a second the main holders share 0.85 in place of 0.6.

--- a/crates/steering/src/quota/allotment.rs
+++ b/crates/steering/src/quota/allotment.rs
@@ -8,7 +8,7 @@
 const MAIN_REQUESTS: f64 = 40.0;
 
 /// Part of what lies above that the main holders share; all hosts share the rest.
-const MAIN_SHARE_ABOVE: f64 = 0.6;
+const MAIN_SHARE_ABOVE: f64 = 0.85;
 
 /// Life of a token outside of a bucket, relative to the window of the bound.
 const TOKEN_LIFE: f64 = 0.08;
--- a/crates/steering/src/quota/bucket.rs
+++ b/crates/steering/src/quota/bucket.rs
@@ -62,6 +62,12 @@
         time::Duration::try_from_secs_f64(missing / self.rate).ok()
     }
 
+    /// Time until the bucket is full.
+    pub(super) fn time_to_fill(&mut self, now: model::Time) -> time::Duration {
+        let missing = (self.depth - self.tokens(now)).max(0.0);
+        time::Duration::try_from_secs_f64(missing / self.rate).unwrap_or(time::Duration::MAX)
+    }
+
     /// Tokens per second.
     pub(super) fn rate(&self) -> f64 {
         self.rate
--- a/crates/steering/src/quota/ledger.rs
+++ b/crates/steering/src/quota/ledger.rs
@@ -13,8 +13,11 @@
 /// Time for which a host that has not answered is not asked again.
 const SILENCE_PAUSE: time::Duration = time::Duration::from_millis(400);
 
-/// Shortest time for which a host that has too few tokens is not asked again.
-const MIN_PAUSE: time::Duration = time::Duration::from_millis(250);
+/// Longest time for which a host that had too few tokens, and has one again, is not asked.
+const MAX_REPEAT_PAUSE: time::Duration = time::Duration::from_millis(500);
+
+/// Shortest time after which a client is told to retry.
+const MIN_RETRY_AFTER: time::Duration = time::Duration::from_millis(250);
 
 /// Time for which a host is not asked again that holds nothing of a quota.
 const NOTHING_HELD_PAUSE: time::Duration = time::Duration::from_secs(1);
@@ -289,7 +292,11 @@
         let tokens = bucket.grantable(f64::from(wanted), now) as f32;
         bucket.take(f64::from(tokens));
         let rest = match (tokens < wanted, bucket.time_to_token(now)) {
-            (true, Some(time)) => messages::Rest::NoneFor(time.max(MIN_PAUSE)),
+            (true, Some(time)) => {
+                // Not so long that tokens are lost because the bucket is full.
+                let min_pause = bucket.time_to_fill(now).min(MAX_REPEAT_PAUSE);
+                messages::Rest::NoneFor(time.max(min_pause / 2))
+            }
             (false, Some(time)) if time > time::Duration::ZERO => messages::Rest::NoneFor(time),
             (false, _) => messages::Rest::Some,
             (true, None) => messages::Rest::NothingHeld,
@@ -421,7 +428,7 @@
             true => Refusal::OverQuota,
             false => Refusal::NoAnswer,
         },
-        retry_after: retry_after.max(MIN_PAUSE),
+        retry_after: retry_after.max(MIN_RETRY_AFTER),
     }
 }
 
--- a/crates/steering/tests/quota/cases.rs
+++ b/crates/steering/tests/quota/cases.rs
@@ -192,3 +192,19 @@
     send(&mut world, 5_000, 25.0, |_| vec![0]);
     assert!(world.counts[0].admitted >= 40, "{:?}", world.counts);
 }
+
+/// Demand close to the quota and a small burst, as in a trial of the users' bench that refused 4 %
+/// of the requests: a holder that says too long that it is empty loses tokens.
+#[test]
+fn large_customers_close_to_their_quotas_are_hardly_refused() {
+    let quota = quota::Quota {
+        rate: 210.0,
+        burst: 40.0,
+    };
+    let mut world = world::World::new(layout(6, 12), vec![quota; 2], 11);
+    world.run(time::Duration::from_secs(15));
+    // Some hosts get twice as many requests as others.
+    let hosts: Vec<usize> = (0..72).chain(0..24).collect();
+    send(&mut world, 6_000, 200.0, |_| hosts.clone());
+    assert!(refused_share(&world) < 0.05, "{:?}", world.counts);
+}
