--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -3,9 +3,8 @@
 use std::{collections, time};
 
 use super::{
-    admission, fairness, outcome, placement, policy, remote_in_flight, request, reserved_slots,
-    response_times, retry_budget, send_shares, server, server_set, service_times, signal_book,
-    signals,
+    admission, fairness, outcome, placement, policy, remote_in_flight, request, response_times,
+    retry_budget, send_shares, server, server_set, service_times, signal_book, signals,
 };
 use crate::model;
 
@@ -90,7 +89,6 @@
     budgets: collections::BTreeMap<model::ServiceId, retry_budget::RetryBudget>,
     fairness: collections::BTreeMap<model::ServiceId, fairness::Fairness>,
     pub(super) shares: send_shares::SendShares,
-    pub(super) reserved_slots: reserved_slots::ReservedSlots,
     limits: RetryLimits,
     pub(super) last_ticket: Ticket,
 }
@@ -120,7 +118,6 @@
                 limits: signal_book::SignalBook::default(),
                 leaving: signal_book::SignalBook::default(),
             },
-            reserved_slots: reserved_slots::ReservedSlots::default(),
             limits,
             last_ticket: 0,
         }
@@ -169,7 +166,6 @@
         self.fairness
             .values_mut()
             .for_each(|fairness| fairness.retain(|route| names.contains(route)));
-        self.reserved_slots.retain(|route| names.contains(route));
     }
 
     /// Queues a request; [`Dispatcher::decide`] returns the decision on it.
@@ -179,7 +175,6 @@
         if req.tried_servers.is_empty() {
             let fairness = self.fairness.entry(req.service.clone()).or_default();
             fairness.record_offered(&req.route.name, req.arrived);
-            self.reserved_slots.record(&req, &self.times);
         }
         let queue = self.waiting.entry(req.service.clone()).or_default();
         queue.push(WaitingRequest {
@@ -485,7 +480,6 @@
                 data_centre: &self.data_centre,
                 regions: &self.regions,
                 shares: &self.shares,
-                reserved_slots: &self.reserved_slots,
                 remote_in_flight: &self.remote_in_flight,
                 queued_ahead: &queued_ahead,
             };
--- a/crates/steering/src/gateway/mod.rs
+++ b/crates/steering/src/gateway/mod.rs
@@ -16,7 +16,6 @@
 mod policy;
 mod remote_in_flight;
 mod request;
-mod reserved_slots;
 mod response_times;
 mod retry_budget;
 mod route_table;
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -4,9 +4,7 @@
 
 use xxhash_rust::xxh3;
 
-use super::{
-    remote_in_flight, request, reserved_slots, send_shares, server, server_set, service_times,
-};
+use super::{remote_in_flight, request, send_shares, server, server_set, service_times};
 use crate::model;
 
 /// Share of requests that find their object cached at its preferred backend server although this
@@ -39,8 +37,6 @@
     pub shares: &'a send_shares::SendShares,
     /// Requests in progress from other hosts of the data centre.
     pub remote_in_flight: &'a remote_in_flight::RemoteInFlight,
-    /// Slots that are held back for higher ranks.
-    pub reserved_slots: &'a reserved_slots::ReservedSlots,
     /// Number of requests with a higher priority that wait for each backend server.
     pub queued_ahead: &'a collections::HashMap<server_set::ServerIndex, u32>,
 }
@@ -128,14 +124,10 @@
     usable: Vec<Candidate<'_>>,
     now: model::Time,
 ) -> Option<Choice> {
-    let demand_above = cx.reserved_slots.demand_above(req, now);
     candidates(req, usable)
         .into_iter()
         .enumerate()
-        .map(|(i, candidate)| {
-            let is_preferred = i == 0 && req.object_hash.is_some();
-            score(cx, req, candidate, is_preferred, &demand_above, now)
-        })
+        .map(|(i, candidate)| score(cx, req, candidate, i == 0 && req.object_hash.is_some(), now))
         .min_by(|a, b| a.score.total_cmp(&b.score))
 }
 
@@ -166,7 +158,6 @@
     req: &request::Request,
     (index, server, share): Candidate<'_>,
     is_preferred: bool,
-    demand_above: &reserved_slots::DemandAbove,
     now: model::Time,
 ) -> Choice {
     let slowdown = server.slowdown(now);
@@ -183,13 +174,8 @@
     let remote = server.remote_in_flight(cx.remote_in_flight.at(server.name_hash), now);
     let load = server.in_flight() + remote + queued_ahead;
     let slots = server.entry.slots.max(1);
+    let queued = (load + 1).saturating_sub(slots);
     let mean_service_seconds = (cached_seconds + uncached_seconds) / 2.0;
-    let held_back = demand_above.held_back(mean_service_seconds, slots, || {
-        let data_centre = &server.entry.data_centre;
-        let servers = cx.servers.servers_in(&req.service, data_centre).len();
-        cx.shares.host_count(data_centre) as f64 / servers.max(1) as f64
-    });
-    let queued = (load + 1 + held_back).saturating_sub(slots);
     let slot_wait_seconds = f64::from(queued) * mean_service_seconds / f64::from(slots);
     let full_wait_seconds = if server.is_full(now) {
         mean_service_seconds / f64::from(slots)
--- a/crates/steering/src/gateway/second_attempt.rs
+++ b/crates/steering/src/gateway/second_attempt.rs
@@ -38,7 +38,6 @@
             data_centre: &self.data_centre,
             regions: &self.regions,
             shares: &self.shares,
-            reserved_slots: &self.reserved_slots,
             remote_in_flight: &self.remote_in_flight,
             queued_ahead: &collections::HashMap::new(),
         };
--- a/crates/steering/src/gateway/send_shares.rs
+++ b/crates/steering/src/gateway/send_shares.rs
@@ -191,15 +191,6 @@
         })
     }
 
-    /// Number of known hosts of a data centre; at least one.
-    pub fn host_count(&self, data_centre: &str) -> usize {
-        let known = self.hosts.by_data_centre.get(data_centre);
-        let others = known.into_iter().flatten();
-        let others = others.filter(|host| **host != self.hosts.own).count();
-        let own = usize::from(data_centre == self.data_centre);
-        (others + own).max(1)
-    }
-
     /// Whether the backend server has said in an answer that it leaves.
     pub fn is_leaving(&self, server: &server::Server) -> bool {
         let signal = self.leaving.get(server.name_hash, server.entry.incarnation);
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -15,7 +15,6 @@
 mod outcome;
 mod pauses;
 mod remote_in_flight;
-mod reserved_slots;
 mod restored;
 mod retry_budget;
 mod routes;
