--- a/crates/node/src/gateway/body.rs
+++ b/crates/node/src/gateway/body.rs
@@ -67,8 +67,9 @@
     .boxed_unsync()
 }
 
-/// Body made of `start` and the unread `rest`. `guard` is dropped with it, and it is broken off after `left`: a backend server that sends bytes without end must not hold
-/// a connection and its client for longer than the client waits.
+/// Body made of `start` and the unread `rest`; `guard` is dropped with it.  It is broken off after
+/// `left`: a backend server that sends bytes without end must not hold a connection and its client
+/// for longer than the client waits.
 pub(super) fn prefixed_until<T: Send + Unpin + 'static>(
     start: Bytes,
     rest: body::Incoming,
--- a/crates/node/src/gateway/fingerprint.rs
+++ b/crates/node/src/gateway/fingerprint.rs
@@ -8,10 +8,10 @@
 
 use super::body;
 
-/// Fingerprint of a request: equal for requests with the same method, host, path, query, credentials,
-/// customer, object and body, whatever their ids and the addresses that they come from.  Of a body that is not
-/// buffered only the start is known.  Callers choose what is hashed, so the hash is a cryptographic
-/// one.
+/// Fingerprint of a request: equal for requests with the same method, host, path, query,
+/// credentials, customer, object and body, whatever their ids and the addresses that they come from.
+/// Of a body that is not buffered only the start is known.  Callers choose what is hashed, so the
+/// hash is a cryptographic one.
 pub(super) fn fingerprint(
     head: &request::Parts,
     customer: Option<&str>,
