Show that slow readers of large answers end processes

An answer above 256 KB is passed on while it is read; what the connections to the server and to the client hold then, 0.7 to 0.9 MB each, is counted nowhere. About 150 clients that read slowly take a machine of 112 MB beyond its memory, and the platform kills the process.

--- /dev/null
+++ b/review/standins-2/main.rs
@@ -0,0 +1,35 @@
+//! The script cases of the second review; the argument is the number of the case's folder.
+
+mod slow_readers;
+mod support;
+
+use std::{env, path::PathBuf, process::ExitCode};
+
+/// Result of a case.
+pub enum Verdict {
+    Held,
+    Broken,
+}
+
+fn main() -> ExitCode {
+    let name = env::args().nth(1).unwrap_or_default();
+    let dir = env::args().nth(2).map(PathBuf::from).unwrap_or_default();
+    let result = match name.as_str() {
+        "slow-readers" => slow_readers::run(&dir),
+        _ => Err(format!("no case is named {name:?}")),
+    };
+    match result {
+        Ok(Verdict::Held) => {
+            println!("held");
+            ExitCode::SUCCESS
+        }
+        Ok(Verdict::Broken) => {
+            println!("broken");
+            ExitCode::from(1)
+        }
+        Err(e) => {
+            println!("could not run: {e}");
+            ExitCode::from(2)
+        }
+    }
+}
