Show that a request waits behind an early answer and misses a drain

A connection goes back to the pool once the answer is whole, though the body of the request is still sent. The next request waits on it unchecked, and reaches a server 4.4 s after the store has accepted that it is draining (drain_s is 2.5); the work is lost as the server exits.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,5 +1,6 @@
 //! The script cases of the second review; the argument is the number of the case's folder.
 
+mod early_answer;
 mod silent_lookups;
 mod slow_readers;
 mod support;
@@ -16,6 +17,7 @@
     let name = env::args().nth(1).unwrap_or_default();
     let dir = env::args().nth(2).map(PathBuf::from).unwrap_or_default();
     let result = match name.as_str() {
+        "early-answer" => early_answer::run(&dir),
         "slow-readers" => slow_readers::run(&dir),
         "silent-lookups" => silent_lookups::run(&dir),
         _ => Err(format!("no case is named {name:?}")),
