Show that an answer that breaks off drops answers behind it

Requests behind an answer above 256 KB are passed on ahead of their turn. If that answer breaks off, the connection is closed and the answers of sound servers behind it are dropped.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -1,5 +1,6 @@
 //! The script cases of the second review; the argument is the number of the case's folder.
 
+mod broken_pipeline;
 mod early_answer;
 mod silent_lookups;
 mod slow_readers;
@@ -20,6 +21,7 @@
         "early-answer" => early_answer::run(&dir),
         "slow-readers" => slow_readers::run(&dir),
         "silent-lookups" => silent_lookups::run(&dir),
+        "broken-pipeline" => broken_pipeline::run(&dir),
         _ => Err(format!("no case is named {name:?}")),
     };
     match result {
