Show that one odd entry of another writer stops hosts from following the store

The entry of a server whose remaining warm-up time is a negative number kept in an unsigned one makes Server::new add it to the time since the epoch, which overflows and panics. The panic ends the task that feeds the host; it goes on serving by what it knew, and a restarted host never becomes ready.

--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -2,6 +2,7 @@
 
 mod broken_pipeline;
 mod early_answer;
+mod foreign_entry;
 mod silent_lookups;
 mod slow_readers;
 mod support;
@@ -22,6 +23,7 @@
         "slow-readers" => slow_readers::run(&dir),
         "silent-lookups" => silent_lookups::run(&dir),
         "broken-pipeline" => broken_pipeline::run(&dir),
+        "foreign-entry" => foreign_entry::run(&dir),
         _ => Err(format!("no case is named {name:?}")),
     };
     match result {
