--- a/review/standins-2/broken_pipeline.rs
+++ b/review/standins-2/broken_pipeline.rs
@@ -85,18 +85,22 @@
         });
     }
     let ports = Ports::free(own_ip(2))?;
-    let host = Host::start(temp, &ports, &HostPlan {
-        name: "front-pwani-a-1",
-        ip: own_ip(2),
-        zone: "pwani-a",
-        zones: &[("pwani-a", "pwani")],
-        store: store.address,
-        seeds: vec![own_ip(2)],
-        is_first_start: true,
-        memory_mb: 260,
-        max_fds: 4100,
-        bounds: "",
-    })?;
+    let host = Host::start(
+        temp,
+        &ports,
+        &HostPlan {
+            name: "front-pwani-a-1",
+            ip: own_ip(2),
+            zone: "pwani-a",
+            zones: &[("pwani-a", "pwani")],
+            store: store.address,
+            seeds: vec![own_ip(2)],
+            is_first_start: true,
+            memory_mb: 260,
+            max_fds: 4100,
+            bounds: "",
+        },
+    )?;
     if !host.until_ready(20.0) {
         return Err(std::io::Error::other("the host is not ready"));
     }
@@ -120,9 +124,13 @@
                 _ => format!("c{connection}-{n}"),
             })
             .collect();
-        record.line(format!("client: connection {connection} sends {ids:?} at once"));
+        record.line(format!(
+            "client: connection {connection} sends {ids:?} at once"
+        ));
         let got = ask_in_row(front, &ids, "/read/");
-        record.line(format!("client: connection {connection} got whole answers to {got:?}"));
+        record.line(format!(
+            "client: connection {connection} got whole answers to {got:?}"
+        ));
         // A server that was at work may still end.
         sleep_s(0.5);
         let log = answered.lock().unwrap();
@@ -137,18 +145,25 @@
             ));
         }
     }
-    let served: usize = ordinary.into_iter().map(|client| client.join().unwrap_or(0)).sum();
+    let served: usize = ordinary
+        .into_iter()
+        .map(|client| client.join().unwrap_or(0))
+        .sum();
     record.line(format!("{served} of {ORDINARY} ordinary requests answered"));
     let log = answered.lock().unwrap();
     for (server, broken) in &log.broken {
         let whole = log.answered.values().filter(|i| *i == server).count();
         let share = *broken as f64 / (broken + whole) as f64;
-        record.line(format!("server i-{server} broke off {share:.3} of its answers"));
+        record.line(format!(
+            "server i-{server} broke off {share:.3} of its answers"
+        ));
         if share > MAX_BROKEN_SHARE {
             return Err(std::io::Error::other("a server broke off too many answers"));
         }
     }
-    record.line(format!("{lost} requests lost at sound servers; the rule allows three"));
+    record.line(format!(
+        "{lost} requests lost at sound servers; the rule allows three"
+    ));
     Ok(match lost > 3 {
         true => Verdict::Broken,
         false => Verdict::Held,
@@ -191,7 +206,10 @@
 
 fn serve(mut reader: Reader, i: u8, record: &Record, answered: &Shared) {
     while let Ok(Some(request)) = reader.message() {
-        let id = request.header("X-Attempt-Id").unwrap_or_default().to_string();
+        let id = request
+            .header("X-Attempt-Id")
+            .unwrap_or_default()
+            .to_string();
         let is_large = id.starts_with("large");
         if !id.starts_with('o') {
             record.line(format!("server i-{i}: runs {id}"));
@@ -209,7 +227,11 @@
             false => length,
         };
         let body = vec![b'x'; written];
-        if reader.stream.write_all(&[text.as_bytes(), &body].concat()).is_err() {
+        if reader
+            .stream
+            .write_all(&[text.as_bytes(), &body].concat())
+            .is_err()
+        {
             return;
         }
         if written < length {
--- a/review/standins-2/early_answer.rs
+++ b/review/standins-2/early_answer.rs
@@ -80,18 +80,22 @@
     }
     let ports = Ports::free(own_ip(2))?;
     let zones = [("rosario", "centro")];
-    let host = Host::start(temp, &ports, &HostPlan {
-        name: "front-rosario-1",
-        ip: own_ip(2),
-        zone: "rosario",
-        zones: &zones,
-        store: store.address,
-        seeds: vec![own_ip(2)],
-        is_first_start: true,
-        memory_mb: 260,
-        max_fds: 4100,
-        bounds: "",
-    })?;
+    let host = Host::start(
+        temp,
+        &ports,
+        &HostPlan {
+            name: "front-rosario-1",
+            ip: own_ip(2),
+            zone: "rosario",
+            zones: &zones,
+            store: store.address,
+            seeds: vec![own_ip(2)],
+            is_first_start: true,
+            memory_mb: 260,
+            max_fds: 4100,
+            bounds: "",
+        },
+    )?;
     if !host.until_ready(20.0) {
         return Err(std::io::Error::other("the host is not ready"));
     }
@@ -179,7 +183,9 @@
 
 fn serve(mut reader: Reader, i: usize, record: &Record, arrivals: &Arrivals) {
     while let Ok(Some(head)) = reader.head() {
-        let id = support::header(&head, "X-Attempt-Id").unwrap_or_default().to_string();
+        let id = support::header(&head, "X-Attempt-Id")
+            .unwrap_or_default()
+            .to_string();
         let length = support::header(&head, "Content-Length").and_then(|text| text.parse().ok());
         let length: usize = length.unwrap_or(0);
         record.line(format!("server i-{i}: {id} arrived, {length} bytes"));
@@ -195,7 +201,11 @@
         }
         if !is_long {
             let at = record.now();
-            arrivals.lock().unwrap().push(Arrival { server: i, id: id.clone(), at });
+            arrivals.lock().unwrap().push(Arrival {
+                server: i,
+                id: id.clone(),
+                at,
+            });
         }
         let seen = reader.skip_body(length);
         if seen < length {
--- a/review/standins-2/foreign_entry.rs
+++ b/review/standins-2/foreign_entry.rs
@@ -93,20 +93,26 @@
     let ports = Ports::free(own_ip(2))?;
     let start = |machine: usize, is_first_start: bool| {
         let zone = ZONES[machine].0;
-        Host::start(temp, &ports, &HostPlan {
-            name: &format!("front-{zone}-1"),
-            ip: own_ip(2 + machine as u8),
-            zone,
-            zones: &ZONES,
-            store: store.address,
-            seeds: vec![own_ip(2), own_ip(3)],
-            is_first_start,
-            memory_mb: 260,
-            max_fds: 4100,
-            bounds: "",
-        })
+        Host::start(
+            temp,
+            &ports,
+            &HostPlan {
+                name: &format!("front-{zone}-1"),
+                ip: own_ip(2 + machine as u8),
+                zone,
+                zones: &ZONES,
+                store: store.address,
+                seeds: vec![own_ip(2), own_ip(3)],
+                is_first_start,
+                memory_mb: 260,
+                max_fds: 4100,
+                bounds: "",
+            },
+        )
     };
-    let mut hosts = (0..2).map(|m| start(m, true)).collect::<std::io::Result<Vec<Host>>>()?;
+    let mut hosts = (0..2)
+        .map(|m| start(m, true))
+        .collect::<std::io::Result<Vec<Host>>>()?;
     if !hosts.iter().all(|host| host.until_ready(20.0)) {
         return Err(std::io::Error::other("a host is not ready"));
     }
@@ -117,12 +123,16 @@
             own_ip(99)
         );
         store.put("servers", "i-foreign", &entry);
-        record.line(format!("another writer: wrote the entry servers/i-foreign: {entry}"));
+        record.line(format!(
+            "another writer: wrote the entry servers/i-foreign: {entry}"
+        ));
     }
     sleep_s(4.0);
     store.put("config", "main", &configuration(9, NEW));
     let confirmed = record.now();
-    record.line(format!("operator: r9 confirmed, r-book moves from {OLD} to {NEW}"));
+    record.line(format!(
+        "operator: r9 confirmed, r-book moves from {OLD} to {NEW}"
+    ));
     let (name, entry) = drained.unwrap_or_default();
     store.put("servers", &name, &entry);
     record.line(format!("server {name}: draining, accepted by the store"));
@@ -134,8 +144,10 @@
             thread::spawn(move || ask_for_a_while(&record, front, machine))
         })
         .collect();
-    let sent: Vec<(String, f64)> =
-        clients.into_iter().flat_map(|client| client.join().unwrap_or_default()).collect();
+    let sent: Vec<(String, f64)> = clients
+        .into_iter()
+        .flat_map(|client| client.join().unwrap_or_default())
+        .collect();
     let mut stale = 0;
     let mut late = 0;
     {
@@ -159,7 +171,9 @@
     hosts[0].kill();
     hosts[0] = start(0, false)?;
     let is_ready = hosts[0].until_ready(10.0);
-    record.line(format!("platform: machine 0 restarted; ready within 10 s: {is_ready}"));
+    record.line(format!(
+        "platform: machine 0 restarted; ready within 10 s: {is_ready}"
+    ));
     Ok(match stale + late {
         0 => Verdict::Held,
         _ => Verdict::Broken,
@@ -175,7 +189,9 @@
         let id = format!("{prefix}-{machine}-{}", sent.len());
         sent.push((id.clone(), record.now()));
         let status = ask(front, prefix, &id).unwrap_or(0);
-        record.line(format!("client: {id} to machine {machine}, answered {status}"));
+        record.line(format!(
+            "client: {id} to machine {machine}, answered {status}"
+        ));
         sleep_s(PAUSE_S);
     }
     sent
@@ -195,7 +211,10 @@
 
 fn serve(mut reader: Reader, name: &str, record: &Record, runs: &Runs) {
     while let Ok(Some(request)) = reader.message() {
-        let id = request.header("X-Attempt-Id").unwrap_or_default().to_string();
+        let id = request
+            .header("X-Attempt-Id")
+            .unwrap_or_default()
+            .to_string();
         record.line(format!("server {name}: runs {id}"));
         runs.lock().unwrap().push(Run {
             id: id.clone(),
--- a/review/standins-2/silent_lookups.rs
+++ b/review/standins-2/silent_lookups.rs
@@ -60,18 +60,22 @@
     let ports = Ports::free(own_ip(2))?;
     let hosts = (0..MACHINES)
         .map(|machine| {
-            Host::start(temp, &ports, &HostPlan {
-                name: &format!("front-rosario-{}", machine + 1),
-                ip: own_ip(2 + machine as u8),
-                zone: "rosario",
-                zones: &[("rosario", "centro")],
-                store: store.address,
-                seeds: vec![own_ip(2), own_ip(3)],
-                is_first_start: true,
-                memory_mb: 260,
-                max_fds: 4100,
-                bounds: "",
-            })
+            Host::start(
+                temp,
+                &ports,
+                &HostPlan {
+                    name: &format!("front-rosario-{}", machine + 1),
+                    ip: own_ip(2 + machine as u8),
+                    zone: "rosario",
+                    zones: &[("rosario", "centro")],
+                    store: store.address,
+                    seeds: vec![own_ip(2), own_ip(3)],
+                    is_first_start: true,
+                    memory_mb: 260,
+                    max_fds: 4100,
+                    bounds: "",
+                },
+            )
         })
         .collect::<std::io::Result<Vec<Host>>>()?;
     if !hosts.iter().all(|host| host.until_ready(20.0)) {
@@ -86,7 +90,10 @@
             }
         }
     }
-    record.line(format!("clients: {} connections opened that say nothing", silent.len()));
+    record.line(format!(
+        "clients: {} connections opened that say nothing",
+        silent.len()
+    ));
     sleep_s(IDLE_S);
     let mut served = 0;
     for n in 0..CLIENTS {
@@ -102,7 +109,9 @@
         served += usize::from(status == 200);
         sleep_s(PAUSE_S);
     }
-    record.line(format!("served {served} of {CLIENTS} requests of clients that came later"));
+    record.line(format!(
+        "served {served} of {CLIENTS} requests of clients that came later"
+    ));
     drop(silent);
     Ok(match served {
         0 => Verdict::Broken,
--- a/review/standins-2/slow_readers.rs
+++ b/review/standins-2/slow_readers.rs
@@ -77,20 +77,26 @@
     let ports = Ports::free(own_ip(2))?;
     let mut ends = [0; MACHINES];
     let start = |machine: usize, is_first_start: bool| {
-        Host::start(temp, &ports, &HostPlan {
-            name: &format!("front-centro-a-{}", machine + 1),
-            ip: own_ip(2 + machine as u8),
-            zone: "centro-a",
-            zones: &[("centro-a", "centro")],
-            store: store.address,
-            seeds: vec![own_ip(2), own_ip(3)],
-            is_first_start,
-            memory_mb: MEMORY_MB as u32,
-            max_fds: MAX_FDS,
-            bounds: "",
-        })
+        Host::start(
+            temp,
+            &ports,
+            &HostPlan {
+                name: &format!("front-centro-a-{}", machine + 1),
+                ip: own_ip(2 + machine as u8),
+                zone: "centro-a",
+                zones: &[("centro-a", "centro")],
+                store: store.address,
+                seeds: vec![own_ip(2), own_ip(3)],
+                is_first_start,
+                memory_mb: MEMORY_MB as u32,
+                max_fds: MAX_FDS,
+                bounds: "",
+            },
+        )
     };
-    let mut hosts = (0..MACHINES).map(|m| start(m, true)).collect::<std::io::Result<Vec<Host>>>()?;
+    let mut hosts = (0..MACHINES)
+        .map(|m| start(m, true))
+        .collect::<std::io::Result<Vec<Host>>>()?;
     sleep_s(4.0);
     for machine in 0..MACHINES {
         for round in 0..ROUNDS {
@@ -105,8 +111,13 @@
             }
         }
     }
-    record.line(format!("servers cut off {} unread answers", cut.load(Ordering::Relaxed)));
-    record.line(format!("processes ended for their memory, by machine: {ends:?}"));
+    record.line(format!(
+        "servers cut off {} unread answers",
+        cut.load(Ordering::Relaxed)
+    ));
+    record.line(format!(
+        "processes ended for their memory, by machine: {ends:?}"
+    ));
     // Two machines at least, three times each.
     let is_broken = ends.iter().all(|ends| *ends >= ROUNDS);
     Ok(match is_broken {
--- a/review/standins-2/support.rs
+++ b/review/standins-2/support.rs
@@ -287,7 +287,9 @@
                 let text = String::from_utf8_lossy(&call.body).into_owned();
                 let quoted = text.split(r#""name":""#).nth(1);
                 let first = quoted.and_then(|rest| rest.split('"').next());
-                let name = named.or_else(|| first.map(str::to_string)).unwrap_or_default();
+                let name = named
+                    .or_else(|| first.map(str::to_string))
+                    .unwrap_or_default();
                 let key = (kind.clone(), name.clone());
                 let exists = self.state.0.lock().unwrap().objects.contains_key(&key);
                 if call.method() == "POST" && exists {
@@ -475,23 +477,13 @@
         let _ = self.child.wait();
     }
 
-    pub fn is_alive(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
-    }
-
-    pub fn signal(&self, signal: &str) {
-        let _ = Command::new("kill")
-            .arg(format!("-{signal}"))
-            .arg(self.child.id().to_string())
-            .status();
-    }
-
     /// A figure of `/proc/PID/status` in kilobytes.
     pub fn memory_kb(&self, figure: &str) -> usize {
         let path = format!("/proc/{}/status", self.child.id());
         let status = fs::read_to_string(path).unwrap_or_default();
         let line = status.lines().find_map(|line| line.strip_prefix(figure));
-        let number = line.and_then(|line| line.trim_matches([':', ' ', '\t', 'k', 'B']).parse().ok());
+        let number =
+            line.and_then(|line| line.trim_matches([':', ' ', '\t', 'k', 'B']).parse().ok());
         number.unwrap_or(0)
     }
 }
@@ -527,7 +519,14 @@
 }
 
 /// Entry of a backend server in the store.
-pub fn server_entry(service: &str, address: SocketAddr, zone: &str, slots: u32, state: &str, born: u64) -> String {
+pub fn server_entry(
+    service: &str,
+    address: SocketAddr,
+    zone: &str,
+    slots: u32,
+    state: &str,
+    born: u64,
+) -> String {
     format!(
         r#"{{"service":"{service}","address":"{address}","zone":"{zone}","version":"v1","slots":{slots},"state":"{state}","warmup_left_s":0,"sequence":4,"born":{born}}}"#
     )
