Bound the numbers from outside where they enter

Cause: a remaining warm-up of s, left by another writer, was added to the present time, and the overflow ended the task that follows the store. The same class elsewhere, each found with a test: a route's or a service's duration and a share of a slow server in float arithmetic (panic in the decision), a server that names a slowdown next to none (division by zero, panic in the request), counts of a server or of another host that overflow their sum, memory and descriptors of the settings, weights whose sum is infinite, and shares of another host that sum up to nothing.

Change: numbers have bounds at the decoders (steering::numbers). An entry that lies outside is unusable, for itself alone; a bound that operators set to more counts as the largest; parts of other hosts' messages are dropped and counted; a configuration is checked where it comes into force, from whatever source. Durations that are calculated from floats saturate.

--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -4,7 +4,7 @@
 
 use yuccatide_steering::{gateway as decisions, model};
 
-use super::{gateway, state};
+use super::{gateway, report, state};
 
 impl gateway::Gateway {
     /// Whether a request that crashes backend servers is to be reported to other data centres at once.
@@ -70,7 +70,8 @@
     }
 
     /// Applies a message from another host and returns the message to forward, if any.
-    pub fn handle_message(&self, message: decisions::Message) -> Option<decisions::Outgoing> {
+    pub fn handle_message(&self, mut message: decisions::Message) -> Option<decisions::Outgoing> {
+        report::unusable_parts(self, message.drop_unusable());
         let message = match message {
             decisions::Message::Quota(message) => return self.receive_quota(message),
             message => message,
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -110,6 +110,7 @@
     pub(super) cold_attempts: counter::Counter,
     pub(super) started_ahead: counter::Counter,
     pub(super) ahead_in_progress: gauge::Gauge,
+    pub(super) unusable_parts: counter::Counter,
     pub(super) omitted_lines: counter::Counter,
     pub(super) client_memory: gauge::Gauge,
     pub(super) client_connections: gauge::Gauge,
@@ -155,6 +156,7 @@
             store_era: gauge::Gauge::default(),
             started_ahead: counter::Counter::default(),
             ahead_in_progress: gauge::Gauge::default(),
+            unusable_parts: counter::Counter::default(),
             omitted_lines: counter::Counter::default(),
             client_memory: gauge::Gauge::default(),
             client_connections: gauge::Gauge::default(),
@@ -311,6 +313,11 @@
             "Era of the store; it rises when the store comes back from an older copy",
             self.store_era.clone(),
         );
+        registry.register(
+            "unusable_parts",
+            "Parts of other hosts' messages whose numbers can't be used",
+            self.unusable_parts.clone(),
+        );
         let omitted = self.omitted_lines.clone();
         registry.register(
             "log_lines_omitted",
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -54,6 +54,17 @@
     }
 }
 
+/// Logs and counts the parts of another host's message whose numbers can't be used.
+pub(super) fn unusable_parts(gateway: &gateway::Gateway, parts: usize) {
+    if parts == 0 {
+        return;
+    }
+    gateway.metrics.unusable_parts.inc_by(parts as u64);
+    if let Some(omitted) = gateway.admit_log_line("message") {
+        log::warn!(parts, omitted; "parts of another host's message can't be used; ignored");
+    }
+}
+
 /// Logs what became of a backend server whose entry was deleted.
 pub(super) fn removal(id: &str, removal: decisions::Removal) {
     match removal {
--- a/crates/node/src/serve/server.rs
+++ b/crates/node/src/serve/server.rs
@@ -88,7 +88,8 @@
     F: future::Future<Output = Reply> + Send + 'static,
 {
     let watcher = graceful::GracefulShutdown::new();
-    let permits = sync::Arc::new(tokio::sync::Semaphore::new(max_connections));
+    let permits = max_connections.min(tokio::sync::Semaphore::MAX_PERMITS);
+    let permits = sync::Arc::new(tokio::sync::Semaphore::new(permits));
     // Connections end with the server.
     let mut connections = tokio::task::JoinSet::new();
     loop {
--- a/crates/steering/src/gateway/admission.rs
+++ b/crates/steering/src/gateway/admission.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use super::{dispatcher, outcome, placement, request, server_set};
-use crate::model;
+use crate::{model, numbers};
 
 /// Part of a pause over which the clients come back that were refused in it.
 const RETURN_SPREAD: f64 = 0.5;
@@ -90,7 +90,7 @@
     let Some(choice) = choice else {
         return AdmissionDecision::Refuse(outcome::Reason::NoServer, MIN_RETRY_AFTER);
     };
-    let min_time = time::Duration::from_secs_f64(MIN_SERVICE_TIME_SHARE * choice.cached_seconds);
+    let min_time = numbers::saturating_duration(MIN_SERVICE_TIME_SHARE * choice.cached_seconds);
     // A route's requests are sent with a fixed part of its timeout left: the estimate may be too
     // high, and only responses correct it.
     let min_time = min_time.min(req.route.timeout.mul_f64(SUFFICIENT_TIMEOUT_SHARE));
@@ -100,11 +100,11 @@
     if choice.wait_seconds <= 0.0 {
         return AdmissionDecision::Send(choice);
     }
-    let wait = time::Duration::from_secs_f64(choice.wait_seconds);
+    let wait = numbers::saturating_duration(choice.wait_seconds);
     // The service time estimate of a starved route rests on few responses.
     let service_time = match is_starved {
         true => min_time,
-        false => time::Duration::from_secs_f64(choice.service_seconds),
+        false => numbers::saturating_duration(choice.service_seconds),
     };
     let completion = now + wait + service_time;
     let time_limit = req.deadline.saturating_sub(req.arrived);
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -6,7 +6,7 @@
     admission, fairness, outcome, placement, policy, remote_in_flight, request, response_times,
     retry_budget, send_shares, server, server_set, service_times, signal_book, signals,
 };
-use crate::model;
+use crate::{model, numbers};
 
 /// Identifies a submitted request within the process.
 pub type Ticket = u64;
@@ -197,14 +197,14 @@
 
     /// Expected service time of a route's requests whose objects are cached.
     pub fn cached_service_time(&self, route: &policy::Route) -> time::Duration {
-        time::Duration::from_secs_f64(self.times.expected_seconds(route, true))
+        numbers::saturating_duration(self.times.expected_seconds(route, true))
     }
 
     /// Time within which a request on this route is expected to be answered once it is sent, with a
     /// margin for slow backend servers.
     pub fn longest_service_time(&self, route: &policy::Route) -> time::Duration {
         let seconds = self.times.expected_seconds(route, false);
-        time::Duration::from_secs_f64(seconds * SERVICE_TIME_MARGIN)
+        numbers::saturating_duration(seconds * SERVICE_TIME_MARGIN)
     }
 
     /// Whether any request waits for a backend server.
@@ -548,7 +548,7 @@
         let service_seconds = waiting
             .service_seconds
             .unwrap_or_else(|| self.times.expected_seconds(&req.route, true));
-        let completion = now + time::Duration::from_secs_f64(service_seconds);
+        let completion = now + numbers::saturating_duration(service_seconds);
         admission::Priority {
             is_not_starved: !self.is_starved(req),
             is_late: completion > req.objective(),
--- a/crates/steering/src/gateway/lookup_balancer.rs
+++ b/crates/steering/src/gateway/lookup_balancer.rs
@@ -117,7 +117,7 @@
                 was_looked_up: false,
                 in_use_since: None,
             });
-        let elapsed = (now - state.last_update).min(SHIFT_WINDOW);
+        let elapsed = now.saturating_sub(state.last_update).min(SHIFT_WINDOW);
         state.last_update = now;
         if state.in_use_since.is_none() && input.has_traffic() {
             state.in_use_since = Some(now);
--- a/crates/steering/src/gateway/machine_pace.rs
+++ b/crates/steering/src/gateway/machine_pace.rs
@@ -8,7 +8,9 @@
 /// machine starts and ends many times a second.
 const PACE_HALF_LIFE: time::Duration = time::Duration::from_millis(100);
 
-/// Largest slowdown that is believed; a longer service time shows in the responses themselves.
+/// Bounds of the slowdown that is believed; a longer or shorter service time shows in the responses
+/// themselves.
+const MIN_SLOWDOWN: f64 = 0.1;
 const MAX_SLOWDOWN: f64 = 10.0;
 
 /// Pace of a backend server's machine, as the server last told it.
@@ -21,7 +23,7 @@
 impl MachinePace {
     /// Records what an answer read at `now` told.
     pub(super) fn record(&mut self, slowdown: f64, now: model::Time) {
-        self.told = Some((now, slowdown.min(MAX_SLOWDOWN)));
+        self.told = Some((now, slowdown.clamp(MIN_SLOWDOWN, MAX_SLOWDOWN)));
     }
 
     /// Expected service time of a request that starts now, relative to the usual one; 1 if nothing
--- a/crates/steering/src/gateway/placement.rs
+++ b/crates/steering/src/gateway/placement.rs
@@ -172,9 +172,12 @@
     };
     let queued_ahead = cx.queued_ahead.get(&index).copied().unwrap_or(0);
     let remote = server.remote_in_flight(cx.remote_in_flight.at(server.name_hash), now);
-    let load = server.in_flight() + remote + queued_ahead;
+    let load = server
+        .in_flight()
+        .saturating_add(remote)
+        .saturating_add(queued_ahead);
     let slots = server.entry.slots.max(1);
-    let queued = (load + 1).saturating_sub(slots);
+    let queued = load.saturating_add(1).saturating_sub(slots);
     let mean_service_seconds = (cached_seconds + uncached_seconds) / 2.0;
     let slot_wait_seconds = f64::from(queued) * mean_service_seconds / f64::from(slots);
     let full_wait_seconds = if server.is_full(now) {
--- a/crates/steering/src/gateway/policy.rs
+++ b/crates/steering/src/gateway/policy.rs
@@ -3,8 +3,23 @@
 use std::{collections, time};
 
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 
-use crate::{customers, model};
+use crate::{customers, model, numbers};
+
+/// Why a configuration can't be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum InvalidPolicy {
+    /// Two customers have a key in common.
+    #[error(transparent)]
+    DuplicateKey(#[from] customers::DuplicateKey),
+    /// A duration is longer than [`numbers::MAX_DURATION`].
+    #[error("{0} has a duration that is too long")]
+    Duration(String),
+    /// A weight, rate or quota is not finite, or is negative.
+    #[error("{0} has a weight, rate or quota that can't be used")]
+    Number(String),
+}
 
 /// One complete version of the configuration.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
@@ -101,6 +116,20 @@
 }
 
 impl Policy {
+    /// Checks that all numbers lie within the bounds of what calculates with them.
+    pub fn check(&self) -> Result<(), InvalidPolicy> {
+        let routes = self.routes.iter().try_for_each(Route::check);
+        let services = || {
+            let mut services = self.services.iter();
+            services.try_for_each(|(name, service)| service.check(name))
+        };
+        let customers = || self.customers.iter().try_for_each(check_customer);
+        routes
+            .and_then(|()| services())
+            .and_then(|()| customers())
+            .and_then(|()| self.limits.check())
+    }
+
     /// Names of all routes.
     pub fn route_names(&self) -> collections::HashSet<&str> {
         self.routes
@@ -111,6 +140,12 @@
 }
 
 impl Route {
+    fn check(&self) -> Result<(), InvalidPolicy> {
+        let weights = self.weighted_services.iter().map(|part| part.weight);
+        check_numbers(&self.name, weights)?;
+        check_durations(&self.name, [self.timeout, self.objective])
+    }
+
     /// Whether backend servers in a region may serve the requests.
     pub fn allows(&self, region: &str) -> bool {
         self.regions.is_empty() || self.regions.iter().any(|r| r == region)
@@ -130,3 +165,40 @@
         (!regions.is_empty()).then_some(regions)
     }
 }
+
+impl Service {
+    fn check(&self, name: &str) -> Result<(), InvalidPolicy> {
+        check_numbers(name, [self.warmup_rate])?;
+        check_durations(name, [self.warmup])
+    }
+}
+
+impl ClientLimits {
+    fn check(&self) -> Result<(), InvalidPolicy> {
+        check_durations("limits", [self.header_timeout, self.idle_timeout])
+    }
+}
+
+fn check_customer(customer: &customers::Customer) -> Result<(), InvalidPolicy> {
+    let quota = customer.quota.iter();
+    check_numbers(&customer.name, quota.flat_map(|q| [q.rate, q.burst]))
+}
+
+fn check_durations(
+    owner: &str,
+    durations: impl IntoIterator<Item = time::Duration>,
+) -> Result<(), InvalidPolicy> {
+    let mut durations = durations.into_iter();
+    match durations.all(|duration| duration <= numbers::MAX_DURATION) {
+        true => Ok(()),
+        false => Err(InvalidPolicy::Duration(owner.to_string())),
+    }
+}
+
+fn check_numbers(owner: &str, numbers: impl IntoIterator<Item = f64>) -> Result<(), InvalidPolicy> {
+    let mut numbers = numbers.into_iter();
+    match numbers.all(|number| number.is_finite() && number >= 0.0) {
+        true => Ok(()),
+        false => Err(InvalidPolicy::Number(owner.to_string())),
+    }
+}
--- a/crates/steering/src/gateway/remote_in_flight.rs
+++ b/crates/steering/src/gateway/remote_in_flight.rs
@@ -12,7 +12,7 @@
 #[derive(Debug, Default)]
 pub struct RemoteInFlight {
     by_host: collections::HashMap<model::HostId, ServerCounts>,
-    totals: collections::HashMap<u64, u32>,
+    totals: collections::HashMap<u64, u64>,
 }
 
 impl RemoteInFlight {
@@ -20,7 +20,7 @@
     pub fn update(&mut self, host: &str, counts: &[(u64, u32)]) {
         self.remove(host);
         for (server, count) in counts {
-            *self.totals.entry(*server).or_default() += count;
+            *self.totals.entry(*server).or_default() += u64::from(*count);
         }
         self.by_host.insert(host.to_string(), counts.to_vec());
     }
@@ -38,13 +38,14 @@
 
     /// Number of requests that all other hosts have in progress at a backend server.
     pub fn at(&self, server: u64) -> u32 {
-        self.totals.get(&server).copied().unwrap_or(0)
+        let total = self.totals.get(&server).copied().unwrap_or(0);
+        u32::try_from(total).unwrap_or(u32::MAX)
     }
 
     fn remove(&mut self, host: &str) {
         for (server, count) in self.by_host.remove(host).unwrap_or_default() {
             if let collections::hash_map::Entry::Occupied(mut total) = self.totals.entry(server) {
-                *total.get_mut() -= count;
+                *total.get_mut() -= u64::from(count);
                 if *total.get() == 0 {
                     total.remove();
                 }
--- a/crates/steering/src/gateway/response_times.rs
+++ b/crates/steering/src/gateway/response_times.rs
@@ -1,7 +1,7 @@
 //! What the duration of a response tells of its route and of its backend server.
 
 use super::{policy, server, service_times};
-use crate::model;
+use crate::{model, numbers};
 
 /// Updates the estimates of the route's service time and of the backend server's relative service
 /// time.  The part of the duration that the server's machine was expected to add is left out of
@@ -16,7 +16,8 @@
     if server.is_cold(now) {
         return;
     }
-    let duration = finished.duration.div_f64(finished.machine_slowdown);
+    let seconds = finished.duration.as_secs_f64() / finished.machine_slowdown;
+    let duration = numbers::saturating_duration(seconds);
     let relative_time = server.relative_service_time();
     let is_cached = times.was_cached(route, duration, relative_time);
     let expected = times.expected_seconds(route, is_cached);
--- a/crates/steering/src/gateway/retry_budget.rs
+++ b/crates/steering/src/gateway/retry_budget.rs
@@ -11,6 +11,9 @@
 /// Length of a bucket of the sliding window.
 const BUCKET_LENGTH: time::Duration = time::Duration::from_secs(1);
 
+/// Largest number of buckets that are kept.  A longer window is cut to them.
+const MAX_BUCKETS: usize = 3600;
+
 /// Bounds the retries of one service over a sliding window.
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
@@ -49,13 +52,12 @@
     /// of hosts in all data centres, which the slack is divided between.
     pub fn try_retry(&mut self, host_count: usize, now: model::Time) -> bool {
         self.bucket(now);
-        let (first_attempts, retries) = self
-            .buckets
-            .iter()
-            .fold((0, 0), |(f, r), bucket| (f + bucket.1, r + bucket.2));
+        let (first_attempts, retries) = self.buckets.iter().fold((0.0, 0.0), |(f, r), bucket| {
+            (f + f64::from(bucket.1), r + f64::from(bucket.2))
+        });
         let slack = self.slack / host_count.max(1) as f64;
-        let max_retries = USED_BUDGET_SHARE * (self.ratio * f64::from(first_attempts) + slack);
-        let is_allowed = f64::from(retries + 1) <= max_retries;
+        let max_retries = USED_BUDGET_SHARE * (self.ratio * first_attempts + slack);
+        let is_allowed = retries + 1.0 <= max_retries;
         if is_allowed {
             self.bucket(now).2 += 1;
         }
@@ -75,6 +77,9 @@
         if self.buckets.back().is_none_or(|bucket| bucket.0 != number) {
             self.buckets.push_back((number, 0, 0));
         }
+        if self.buckets.len() > MAX_BUCKETS {
+            self.buckets.pop_front();
+        }
         let last = self.buckets.len() - 1;
         &mut self.buckets[last]
     }
--- a/crates/steering/src/gateway/route_table.rs
+++ b/crates/steering/src/gateway/route_table.rs
@@ -28,13 +28,14 @@
 impl RouteTable {
     /// Activates a configuration if its version is newer than the active one; returns whether it
     /// was activated.  One with an invalid part is not activated at all.
-    pub fn apply(&mut self, policy: policy::Policy) -> Result<bool, customers::DuplicateKey> {
+    pub fn apply(&mut self, policy: policy::Policy) -> Result<bool, policy::InvalidPolicy> {
         if self
             .version()
             .is_some_and(|version| policy.version <= version)
         {
             return Ok(false);
         }
+        policy.check()?;
         let customers = customers::CustomerTable::new(&policy.customers)?;
         self.customers = (!policy.customers.is_empty()).then(|| sync::Arc::new(customers));
         self.hosts.clear();
--- a/crates/steering/src/gateway/second_attempt.rs
+++ b/crates/steering/src/gateway/second_attempt.rs
@@ -3,7 +3,7 @@
 use std::{collections, time};
 
 use super::{dispatcher, placement, request, server, server_set};
-use crate::{hedging, model};
+use crate::{hedging, model, numbers};
 
 /// A second attempt that was begun.
 #[derive(Clone, Debug, PartialEq)]
@@ -44,12 +44,13 @@
         let choice = placement::choose(&cx, &req, now)?;
         let server = self.servers.get(choice.server)?;
         let remote = self.remote_in_flight.at(server.name_hash);
-        let in_use = server.in_flight() + server.remote_in_flight(remote, now);
+        let remote = server.remote_in_flight(remote, now);
+        let in_use = server.in_flight().saturating_add(remote);
         let has_room = choice.wait_seconds <= 0.0
             && !choice.is_paused
             && !server.is_cold(now)
             && hedging::Hedger::has_room(in_use, server.entry.slots);
-        let expected = time::Duration::from_secs_f64(choice.service_seconds);
+        let expected = numbers::saturating_duration(choice.service_seconds);
         if !has_room || now + expected > req.deadline || !hedger.try_spend(&req.service, expected) {
             return None;
         }
--- a/crates/steering/src/gateway/send_shares.rs
+++ b/crates/steering/src/gateway/send_shares.rs
@@ -9,7 +9,7 @@
 use xxhash_rust::xxh3;
 
 use super::{policy, server, signal_book};
-use crate::model;
+use crate::{model, numbers};
 
 /// Hash of a host's name.
 type HostHash = u64;
@@ -130,7 +130,7 @@
         }
         let rate = rate * bound.rate.max(MIN_RATE);
         let per_second = rate / count.min(max_senders) as f64;
-        Some(time::Duration::from_secs_f64(1.0 / per_second))
+        Some(numbers::saturating_duration(1.0 / per_second))
     }
 }
 
--- a/crates/steering/src/gateway/traffic_splitter.rs
+++ b/crates/steering/src/gateway/traffic_splitter.rs
@@ -14,6 +14,8 @@
 #[derive(Debug)]
 struct RouteState {
     services: Vec<policy::WeightedService>,
+    /// Share of the requests for each service.
+    shares: Vec<f64>,
     /// Requests due to each service so far minus those assigned to it.
     credits: Vec<f64>,
 }
@@ -45,14 +47,14 @@
     fn new(route: &policy::Route) -> RouteState {
         RouteState {
             credits: vec![0.0; route.weighted_services.len()],
+            shares: shares(&route.weighted_services),
             services: route.weighted_services.clone(),
         }
     }
 
     fn next_service(&mut self) -> model::ServiceId {
-        let total_weight: f64 = self.services.iter().map(|service| service.weight).sum();
-        for (credit, service) in self.credits.iter_mut().zip(&self.services) {
-            *credit += service.weight / total_weight;
+        for (credit, share) in self.credits.iter_mut().zip(&self.shares) {
+            *credit += share;
         }
         let selected = (0..self.credits.len())
             .max_by(|a, b| self.credits[*a].total_cmp(&self.credits[*b]))
@@ -61,3 +63,12 @@
         self.services[selected].service.clone()
     }
 }
+
+/// Share of each service.  The weights are divided by the largest one first: their sum may be too
+/// large for a float.
+fn shares(services: &[policy::WeightedService]) -> Vec<f64> {
+    let weights = services.iter().map(|service| service.weight);
+    let largest = weights.clone().fold(0.0, f64::max);
+    let total: f64 = weights.clone().map(|weight| weight / largest).sum();
+    weights.map(|weight| weight / largest / total).collect()
+}
--- a/crates/steering/src/hedging/latency_quantile.rs
+++ b/crates/steering/src/hedging/latency_quantile.rs
@@ -2,6 +2,8 @@
 
 use std::time;
 
+use crate::numbers;
+
 /// Quantile that is tracked: a request that takes longer is slower than nearly all of its kind.
 const QUANTILE: f64 = 0.95;
 
@@ -40,6 +42,6 @@
     /// The estimate; `None` while too little was observed.
     pub(super) fn get(&self) -> Option<time::Duration> {
         (self.observations >= MIN_OBSERVATIONS)
-            .then(|| time::Duration::from_secs_f64(self.seconds).max(MIN_LATENCY))
+            .then(|| numbers::saturating_duration(self.seconds).max(MIN_LATENCY))
     }
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod matching;
 pub mod membership;
 pub mod model;
+pub mod numbers;
 pub mod pool;
 pub mod propagation;
 pub mod quota;
--- a/crates/steering/src/quota/bucket.rs
+++ b/crates/steering/src/quota/bucket.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use crate::model;
+use crate::{model, numbers};
 
 /// Tokens that accrue at a rate up to a depth.
 #[derive(Clone, Copy, Debug)]
@@ -59,13 +59,13 @@
     /// accrue.
     pub(super) fn time_to_token(&mut self, now: model::Time) -> Option<time::Duration> {
         let missing = (self.depth.min(1.0) - self.tokens(now)).max(0.0);
-        time::Duration::try_from_secs_f64(missing / self.rate).ok()
+        numbers::duration_from_secs(missing / self.rate)
     }
 
     /// Time until the bucket is full.
     pub(super) fn time_to_fill(&mut self, now: model::Time) -> time::Duration {
         let missing = (self.depth - self.tokens(now)).max(0.0);
-        time::Duration::try_from_secs_f64(missing / self.rate).unwrap_or(time::Duration::MAX)
+        numbers::saturating_duration(missing / self.rate)
     }
 
     /// Tokens per second.
--- a/crates/steering/tests/gateway/customers.rs
+++ b/crates/steering/tests/gateway/customers.rs
@@ -54,11 +54,11 @@
     assert_eq!(holder(&table, "k2").as_deref(), Some("acme"));
     // A key in two customers: nothing of the version comes into force.
     let shared = [customer("acme", &["k9"]), customer("zeta", &["k3", "k9"])];
-    let error = table.apply(policy(5, &shared)).unwrap_err();
-    assert_eq!(
-        (error.first.as_str(), error.second.as_str()),
-        ("acme", "zeta")
-    );
+    let duplicate = customers::DuplicateKey {
+        first: "acme".to_string(),
+        second: "zeta".to_string(),
+    };
+    assert_eq!(table.apply(policy(5, &shared)), Err(duplicate.into()));
     assert_eq!(table.version(), Some(4));
     assert_eq!(holder(&table, "k1").as_deref(), Some("acme"));
     assert_eq!(holder(&table, "k9"), None);
