Look at the ends of long-lived tasks

A server or frontend whose accepting ends can't be started again in place: it ends the process with an error.

--- a/crates/node/src/callers/interface.rs
+++ b/crates/node/src/callers/interface.rs
@@ -6,26 +6,31 @@
 use yuccatide_steering::model;
 
 use super::{Error, lookup, run};
-use crate::{engine, request, serve, telemetry::metrics};
+use crate::{engine, request, serve, tasks, telemetry::metrics};
 
 /// The interface for callers, over the decisions of one host.
 pub struct Interface {
     pub(super) engine: sync::Arc<engine::Engine>,
     pub(super) metrics: metrics::Metrics,
     pub(super) permits: sync::Arc<tokio::sync::Semaphore>,
+    tasks: tasks::Tasks,
 }
 
 impl Interface {
-    /// An interface that carries at most `max_requests` at once.
+    /// An interface that carries at most `max_requests` at once.  Without all its `tasks` the host is
+    /// not ready.
     pub fn new(
         engine: sync::Arc<engine::Engine>,
         metrics: metrics::Metrics,
         max_requests: usize,
+        tasks: tasks::Tasks,
     ) -> Interface {
+        let max_requests = max_requests.min(tokio::sync::Semaphore::MAX_PERMITS);
         Interface {
             engine,
             metrics,
             permits: sync::Arc::new(tokio::sync::Semaphore::new(max_requests)),
+            tasks,
         }
     }
 
@@ -43,7 +48,7 @@
             return answer.unwrap_or_else(refusal);
         }
         if path == "/v1/ready" {
-            return match self.engine.is_ready() {
+            return match self.engine.is_ready() && self.tasks.are_running() {
                 true => serve::text(http::StatusCode::OK, "ready"),
                 false => refusal(Error::NotReady),
             };
--- a/crates/node/src/daemon/daemon.rs
+++ b/crates/node/src/daemon/daemon.rs
@@ -9,7 +9,7 @@
 
 use super::peers;
 use crate::{
-    admin, callers, clock, engine, peer, platform, serve, settings,
+    admin, callers, clock, engine, peer, platform, serve, settings, tasks,
     telemetry::{metrics, traces},
 };
 
@@ -19,6 +19,9 @@
 /// Time in which the last messages leave.
 const FAREWELL: time::Duration = time::Duration::from_millis(200);
 
+/// Cause of the fault that is counted when a long-lived task ends.
+const TASK_ENDED: &str = "task-ended";
+
 /// A running entry host.
 pub struct Daemon {
     engine: sync::Arc<engine::Engine>,
@@ -77,10 +80,13 @@
             tls: settings.tls.clone(),
             identity,
         };
+        let fault_metrics = metrics.clone();
+        let tasks = tasks::Tasks::new(move |_| fault_metrics.fault(TASK_ENDED));
         let interface = sync::Arc::new(callers::Interface::new(
             sync::Arc::clone(&engine),
             metrics,
             settings.max_requests,
+            tasks.clone(),
         ));
         let callers = serve::Server::start(callers, move |req, client| {
             let interface = sync::Arc::clone(&interface);
@@ -91,26 +97,24 @@
             let operators = sync::Arc::clone(&operators);
             async move { operators.handle(req).await }
         })?;
-        let spawned = [
-            tokio::spawn(peers.serve()),
-            tokio::spawn(sync::Arc::clone(&engine).send_gauges(settings.telemetry.period)),
-            tokio::spawn(sync::Arc::clone(&engine).tick_forever()),
-            tokio::spawn(sync::Arc::clone(&engine).poll_loads()),
-            tokio::spawn(sync::Arc::clone(&engine).load_blocks()),
-            tokio::spawn(sync::Arc::clone(&engine).follow_hosts()),
-        ];
+        let spawned = start_tasks(&tasks, &engine, peers, settings.telemetry.period);
         Ok(Daemon {
             engine,
             callers,
             admin,
             peers: me.peer_address,
-            tasks: spawned
-                .into_iter()
-                .map(task::AbortOnDropHandle::new)
-                .collect(),
+            tasks: spawned,
         })
     }
 
+    /// Waits until one of the servers has ended, which they do only after a failure.
+    pub async fn ended(&mut self) {
+        tokio::select! {
+            () = self.callers.ended() => {}
+            () = self.admin.ended() => {}
+        }
+    }
+
     /// Address for callers.
     pub fn callers(&self) -> net::SocketAddr {
         self.callers.addr()
@@ -147,6 +151,28 @@
     pub fn kill(self) {}
 }
 
+/// Starts the tasks that run as long as the host.
+fn start_tasks(
+    tasks: &tasks::Tasks,
+    engine: &sync::Arc<engine::Engine>,
+    peers: peers::Peers,
+    gauge_period: time::Duration,
+) -> Vec<task::AbortOnDropHandle<()>> {
+    let engine = || sync::Arc::clone(engine);
+    let (gauges, ticks, loads) = (engine(), engine(), engine());
+    let (blocks, hosts) = (engine(), engine());
+    vec![
+        tasks.keep_running("peers", move || peers.clone().serve()),
+        tasks.keep_running("gauges", move || {
+            sync::Arc::clone(&gauges).send_gauges(gauge_period)
+        }),
+        tasks.keep_running("ticks", move || sync::Arc::clone(&ticks).tick_forever()),
+        tasks.keep_running("loads", move || sync::Arc::clone(&loads).poll_loads()),
+        tasks.keep_running("blocks", move || sync::Arc::clone(&blocks).load_blocks()),
+        tasks.keep_running("hosts", move || sync::Arc::clone(&hosts).follow_hosts()),
+    ]
+}
+
 fn new_links(me: &membership::Identity, identity: Option<peer::Identity>) -> peer::Links {
     let me = peer::Me {
         deployment: me.deployment.clone(),
--- a/crates/node/src/daemon/peers.rs
+++ b/crates/node/src/daemon/peers.rs
@@ -12,6 +12,7 @@
 const RELOAD_PERIOD: time::Duration = time::Duration::from_secs(2);
 
 /// What the server for other hosts needs.
+#[derive(Clone)]
 pub(super) struct Peers {
     pub(super) engine: sync::Arc<engine::Engine>,
     pub(super) links: sync::Arc<peer::Links>,
@@ -30,7 +31,9 @@
             let server = self.start(stop.clone());
             let Some(identity) = self.changed_identity().await else {
                 // Without TLS nothing changes.
-                let _ = server.await;
+                if let Err(e) = server.await {
+                    log::error!(error:% = e; "the server for other hosts ended");
+                }
                 return;
             };
             self.links.set_identity(identity.clone());
--- a/crates/node/src/gateway/exchange.rs
+++ b/crates/node/src/gateway/exchange.rs
@@ -33,7 +33,7 @@
             .filter(|report| !report.to.is_empty());
         let heartbeat = decisions::Heartbeat {
             member: self.settings.member.clone(),
-            is_ready: state.route_table.version().is_some() && state.stops_at.is_none(),
+            is_ready: self.is_ready_in(&state),
             in_flight,
             loads: state.demand.loads(),
             blocks: if include_summary {
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -10,7 +10,7 @@
     connection_pool, demand, header_names, log_limit, memory, metrics, quota, report, settings,
     state, status_check, store_state, update,
 };
-use crate::clock;
+use crate::{clock, tasks};
 
 /// Time between decisions on waiting requests if no event triggers one earlier.
 const DECISION_INTERVAL: time::Duration = time::Duration::from_millis(20);
@@ -46,6 +46,8 @@
     pub store_state: store_state::StoreState,
     /// Counters, histograms and gauges.
     pub metrics: metrics::Metrics,
+    /// Long-lived tasks of the host.
+    pub tasks: tasks::Tasks,
     pub(super) own_data_centre: model::DataCentreId,
     pub(super) settings: settings::Settings,
     pub(super) started: model::Time,
@@ -90,6 +92,7 @@
             .dispatcher
             .set_hosts(decisions::KnownHosts::undiscovered());
         let clock = clock::Clock::new();
+        let metrics = metrics::Metrics::new();
         Gateway {
             header_names,
             started: clock.now(),
@@ -103,7 +106,8 @@
                 clock,
             )),
             store_state: store_state::StoreState::default(),
-            metrics: metrics::Metrics::new(),
+            tasks: tasks::Tasks::new(metrics.task_end_counter()),
+            metrics,
             own_data_centre,
             settings,
             grace_end: tokio_sync::CancellationToken::new(),
@@ -257,11 +261,14 @@
         }
     }
 
-    /// Whether look-ups may return this host: it has a configuration and is not stopping. After a
-    /// stop has begun, the frontend still accepts connections for `STOP_ACCEPT_WINDOW`.
+    /// Whether look-ups should return this host: it takes requests, and all its tasks run.
     pub fn is_ready(&self) -> bool {
-        let state = self.lock();
-        state.route_table.version().is_some() && state.stops_at.is_none()
+        self.is_ready_in(&self.lock())
+    }
+
+    /// The same, for one that has locked the state.
+    pub(super) fn is_ready_in(&self, state: &state::State) -> bool {
+        state.takes_requests() && self.tasks.are_running()
     }
 
     /// Whether the host is stopping.
@@ -303,7 +310,10 @@
         state
             .demand
             .record_client(client.address, &client.data_centre);
-        let is_self_ready = state.route_table.version().is_some() && state.stops_at.is_none();
+        let is_self_ready = self.is_ready_in(&state);
+        // A host without all its tasks is better than none.
+        let own = self.settings.member.callers;
+        let last_choice = state.takes_requests().then_some(own);
         state
             .lookup_balancer
             .rank_data_centres(name, client)
@@ -317,7 +327,7 @@
             })
             .find(|members| !members.is_empty())
             .map(|members| members.into_iter().map(|member| member.callers).collect())
-            .unwrap_or_default()
+            .unwrap_or_else(|| last_choice.into_iter().collect())
     }
 
     /// The configuration in force.
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -71,6 +71,11 @@
     kind: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TaskLabels {
+    task: &'static str,
+}
+
 type FloatGauge = gauge::Gauge<f64, atomic::AtomicU64>;
 
 type Latency = family::Family<RouteLabels, histogram::Histogram, fn() -> histogram::Histogram>;
@@ -111,6 +116,7 @@
     pub(super) started_ahead: counter::Counter,
     pub(super) ahead_in_progress: gauge::Gauge,
     pub(super) unusable_parts: counter::Counter,
+    task_ends: family::Family<TaskLabels, counter::Counter>,
     pub(super) omitted_lines: counter::Counter,
     pub(super) client_memory: gauge::Gauge,
     pub(super) client_connections: gauge::Gauge,
@@ -157,6 +163,7 @@
             started_ahead: counter::Counter::default(),
             ahead_in_progress: gauge::Gauge::default(),
             unusable_parts: counter::Counter::default(),
+            task_ends: family::Family::default(),
             omitted_lines: counter::Counter::default(),
             client_memory: gauge::Gauge::default(),
             client_connections: gauge::Gauge::default(),
@@ -318,6 +325,11 @@
             "Parts of other hosts' messages whose numbers can't be used",
             self.unusable_parts.clone(),
         );
+        registry.register(
+            "task_ends",
+            "Ends of long-lived tasks, which are started again",
+            self.task_ends.clone(),
+        );
         let omitted = self.omitted_lines.clone();
         registry.register(
             "log_lines_omitted",
@@ -357,6 +369,14 @@
         Ok(text)
     }
 
+    /// Counts the ends of long-lived tasks.
+    pub(super) fn task_end_counter(&self) -> impl Fn(&'static str) + Send + Sync + 'static {
+        let ends = self.task_ends.clone();
+        move |task| {
+            ends.get_or_create(&TaskLabels { task }).inc();
+        }
+    }
+
     /// Records a completed request.
     pub(super) fn record_request(
         &self,
--- a/crates/node/src/gateway/state.rs
+++ b/crates/node/src/gateway/state.rs
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Whether the host has a configuration and is not stopping.  After a stop has begun, the frontend
+    /// still accepts connections for `STOP_ACCEPT_WINDOW`.
+    pub(super) fn takes_requests(&self) -> bool {
+        self.route_table.version().is_some() && self.stops_at.is_none()
+    }
+
     /// Takes over what another host has seen of requests that crash backend servers.
     pub(super) fn adopt_crashes(&mut self, crashes: &[decisions::CrashReport], now: model::Time) {
         for fingerprint in self.crash_book.adopt(crashes, now) {
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -25,4 +25,5 @@
 pub mod serve;
 #[cfg(feature = "daemon")]
 pub mod settings;
+pub mod tasks;
 pub mod telemetry;
--- a/crates/node/src/main.rs
+++ b/crates/node/src/main.rs
@@ -37,7 +37,7 @@
         use tokio::signal::unix;
         let mut terminate = unix::signal(unix::SignalKind::terminate())?;
         let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
-        let daemon = daemon::Daemon::start(settings).await?;
+        let mut daemon = daemon::Daemon::start(settings).await?;
         log::info!(
             callers:% = daemon.callers(),
             peers:% = daemon.peers(),
@@ -47,6 +47,7 @@
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            () = daemon.ended() => anyhow::bail!("a server of the host has ended"),
         }
         log::info!("stopping");
         tokio::select! {
--- a/crates/node/src/serve/server.rs
+++ b/crates/node/src/serve/server.rs
@@ -71,6 +71,13 @@
         self.addr
     }
 
+    /// Waits until the server has ended, which it does by itself only after a failure.
+    pub async fn ended(&mut self) {
+        if let Err(e) = (&mut self.task).await {
+            log::error!(address:% = self.addr, error:% = e; "a server ended");
+        }
+    }
+
     /// Accepts nothing new and waits until the requests in progress are answered.
     pub async fn finish(self) {
         self.stop.cancel();
