Bound the numbers of the product's own documents and messages

Change: the document's durations and counts are bounded where it is decoded, and a document that another writer leaves in the platform is checked like an operator's; messages with numbers out of bounds are malformed; sums of counts saturate. One adapter bounds durations and counts, also of server entries.

--- a/crates/node/src/callers/run.rs
+++ b/crates/node/src/callers/run.rs
@@ -6,7 +6,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::body;
 use xxhash_rust::xxh3;
-use yuccatide_steering::{config, model};
+use yuccatide_steering::{config, model, numbers};
 
 use super::{Error, Interface};
 use crate::{request, serve, telemetry::traces};
@@ -107,7 +107,7 @@
                 name: request::DEADLINE,
                 message: "is no number of milliseconds".to_string(),
             })?
-            .map(time::Duration::from_millis);
+            .map(|ms| time::Duration::from_millis(ms).min(numbers::MAX_DURATION));
         let caller_id = header(req, request::REQUEST_ID)?;
         if caller_id.as_ref().is_some_and(|id| id.len() > MAX_ID_BYTES) {
             return Err(Error::Header {
--- a/crates/node/src/engine/follow.rs
+++ b/crates/node/src/engine/follow.rs
@@ -188,10 +188,17 @@
 }
 
 fn answer_object(object: &platform::Object) -> propagation::Response {
-    match serde_json::from_slice(&object.body) {
-        Ok(stored) => propagation::Response::Object {
-            revision: object.version,
-            stored: sync::Arc::new(stored),
+    let stored: Result<config::StoredConfig, _> = serde_json::from_slice(&object.body);
+    match stored {
+        Ok(stored) => match config::check(&stored.document).first() {
+            None => propagation::Response::Object {
+                revision: object.version,
+                stored: sync::Arc::new(stored),
+            },
+            Some(problem) => {
+                log::error!(problem:%; "the platform's configuration can't be used");
+                propagation::Response::Unavailable
+            }
         },
         Err(e) => {
             log::error!(error:% = e; "the platform's configuration is malformed");
--- a/crates/node/src/peer/wire.rs
+++ b/crates/node/src/peer/wire.rs
@@ -3,7 +3,7 @@
 use std::{sync, time};
 
 use bytes::Bytes;
-use yuccatide_steering::model;
+use yuccatide_steering::{model, numbers};
 
 use super::{Error, generated};
 use crate::request;
@@ -62,6 +62,9 @@
         }
     };
     let mut meta: model::RequestMeta = postcard::from_bytes(&req.meta).map_err(malformed)?;
+    if meta.deadline > numbers::MAX_DURATION {
+        return Err(Error::Malformed("the deadline is too far away".to_string()));
+    }
     meta.deadline += now;
     let method = http::Method::from_bytes(req.method.as_bytes()).map_err(malformed)?;
     let job = request::Job {
--- a/crates/node/src/platform/request.rs
+++ b/crates/node/src/platform/request.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{Method, StatusCode, header};
 use http_body_util::Full;
+use yuccatide_steering::numbers;
 
 use super::{calls, error, object};
 
@@ -132,6 +133,7 @@
 
     fn retry_after(&self) -> Option<time::Duration> {
         let value = self.headers.get(header::RETRY_AFTER)?.to_str().ok()?;
-        value.parse().ok().map(time::Duration::from_secs)
+        let seconds = value.parse().ok().map(time::Duration::from_secs);
+        seconds.map(|time| time.min(numbers::MAX_DURATION))
     }
 }
--- a/crates/node/src/settings/settings.rs
+++ b/crates/node/src/settings/settings.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
 use thiserror::Error;
-use yuccatide_steering::{config, model};
+use yuccatide_steering::{config, model, numbers};
 
 use super::check;
 
@@ -56,7 +56,7 @@
     pub address: net::SocketAddr,
     /// Time after which a call counts as lost.
     #[serde(rename = "timeout_ms", default = "Platform::default_timeout")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<DurationMilliSeconds<u64>>")]
     pub timeout: time::Duration,
 }
 
@@ -85,7 +85,7 @@
     pub otlp: Option<String>,
     /// Period in which gauges are sent.
     #[serde(rename = "period_s")]
-    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<DurationSeconds<u64>>")]
     pub period: time::Duration,
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod caller;
 pub mod deployment;
 pub mod fleet;
+pub mod odd_numbers;
 pub mod platform;
 pub mod quota;
 pub mod serve;
--- a/crates/steering/src/capacity/held_grants.rs
+++ b/crates/steering/src/capacity/held_grants.rs
@@ -92,7 +92,8 @@
 
 impl GrantSet {
     fn milli_slots(&self, now: model::Time) -> u32 {
-        self.grants.iter().map(|h| h.milli_slots(now)).sum()
+        let grants = self.grants.iter().map(|h| h.milli_slots(now));
+        grants.fold(0, u32::saturating_add)
     }
 
     fn totals(&self, now: model::Time) -> GrantTotals {
@@ -215,7 +216,9 @@
         if candidates.is_empty() {
             return Err(model::NotRunReason::NoCapacity);
         }
-        candidates.sort_by_key(|i| held[*i].in_use * 1_000_000 / held[*i].milli_slots(now));
+        candidates.sort_by_key(|i| {
+            u64::from(held[*i].in_use) * 1_000_000 / u64::from(held[*i].milli_slots(now))
+        });
         for i in candidates {
             let h = &mut held[i];
             let grant = h
--- a/crates/steering/src/capacity/issued_grants.rs
+++ b/crates/steering/src/capacity/issued_grants.rs
@@ -111,7 +111,7 @@
     /// Updates the capacity and use of the servers that this host owns.
     pub fn set_capacity(&mut self, service: &str, capacity: local::Capacity, now: model::Time) {
         let remote = self.remote_in_use(service);
-        let total = capacity.in_use + capacity.queued;
+        let total = capacity.in_use.saturating_add(capacity.queued);
         let own = f64::from(total.saturating_sub(remote));
         let is_known = self.local.contains_key(service);
         let local = self.local.entry(service.to_string()).or_default();
@@ -188,9 +188,10 @@
             return false;
         };
         let per_slot = u64::from(queue_per_slot) + 1;
-        let max_in_use = (u64::from(issued.milli_slots) * per_slot).div_ceil(1000) as u32;
+        let max_in_use = (u64::from(issued.milli_slots) * per_slot).div_ceil(1000);
+        let max_in_use = u32::try_from(max_in_use).unwrap_or(u32::MAX);
         let max_in_use = if max_in_use > 0 {
-            max_in_use + grant::BURST_REQUESTS
+            max_in_use.saturating_add(grant::BURST_REQUESTS)
         } else {
             0
         };
@@ -237,7 +238,7 @@
             return 0;
         };
         let own = (self.local[service].mean_slots * 1000.0).ceil() as u32;
-        (capacity.slots * 1000).saturating_sub(own)
+        capacity.slots.saturating_mul(1000).saturating_sub(own)
     }
 
     /// Creates or updates the grant for a request, without assigning capacity; returns the
--- a/crates/steering/src/config/document.rs
+++ b/crates/steering/src/config/document.rs
@@ -6,7 +6,7 @@
 use serde_with::{DurationMilliSeconds, DurationSeconds, serde_as};
 use sha2::Digest;
 
-use crate::model;
+use crate::{model, numbers};
 
 /// Complete operator configuration of one version.
 ///
@@ -52,7 +52,7 @@
     pub teams: collections::BTreeMap<model::TeamId, Team>,
     /// How long callers may cache the response to a look-up.
     #[serde(rename = "lookup_ttl_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<DurationMilliSeconds<u64>>")]
     pub lookup_ttl: time::Duration,
 }
 
@@ -76,15 +76,15 @@
 pub struct Latency {
     /// Between data centres of one region.
     #[serde(rename = "between_data_centres_us")]
-    #[serde_as(as = "serde_with::DurationMicroSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<serde_with::DurationMicroSeconds<u64>>")]
     pub between_data_centres: time::Duration,
     /// Between regions.
     #[serde(rename = "between_regions_us")]
-    #[serde_as(as = "serde_with::DurationMicroSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<serde_with::DurationMicroSeconds<u64>>")]
     pub between_regions: time::Duration,
     /// Between a client and its home data centre.
     #[serde(rename = "to_clients_us")]
-    #[serde_as(as = "serde_with::DurationMicroSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<serde_with::DurationMicroSeconds<u64>>")]
     pub to_clients: time::Duration,
 }
 
@@ -104,18 +104,20 @@
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Requests that one backend server runs concurrently.
+    #[serde_as(as = "numbers::Bounded<serde_with::Same>")]
     pub slots: u32,
     /// Connections that one backend server accepts.
+    #[serde_as(as = "numbers::Bounded<serde_with::Same>")]
     pub connections: u32,
     /// Slot utilization above which a backend server gets no requests, 0 to 1.
     pub target_use: f64,
     /// Duration of the ramp of a cold backend server from one slot to all.
     #[serde(rename = "slow_start_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<DurationMilliSeconds<u64>>")]
     pub slow_start: time::Duration,
     /// Age after which a load report is ignored.
     #[serde(rename = "report_max_age_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<DurationMilliSeconds<u64>>")]
     pub report_max_age: time::Duration,
 }
 
@@ -144,11 +146,12 @@
     pub idempotent: bool,
     /// Deadline after arrival for a response, if the caller sets none.
     #[serde(rename = "deadline_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<DurationMilliSeconds<u64>>")]
     pub deadline: time::Duration,
     /// Share of the service's slots that is guaranteed to this work, 0 to 1.
     pub guaranteed_share: f64,
     /// Largest number of waiting requests per slot of the service.
+    #[serde_as(as = "numbers::Bounded<serde_with::Same>")]
     pub queue_per_slot: u32,
     /// Largest request body in bytes.
     pub max_body_bytes: u64,
@@ -156,11 +159,11 @@
     pub retry_share: f64,
     /// Delay after which an idempotent request is hedged with an attempt elsewhere; 0 for never.
     #[serde(rename = "hedge_after_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<DurationMilliSeconds<u64>>")]
     pub hedge_after: time::Duration,
     /// How long the result of a non-idempotent request is retained for repeated requests.
     #[serde(rename = "result_retention_s")]
-    #[serde_as(as = "DurationSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<DurationSeconds<u64>>")]
     pub result_retention: time::Duration,
 }
 
@@ -192,7 +195,7 @@
     pub share: f64,
     /// Length of an interval.
     #[serde(rename = "interval_ms")]
-    #[serde_as(as = "DurationMilliSeconds<u64>")]
+    #[serde_as(as = "numbers::Bounded<DurationMilliSeconds<u64>>")]
     pub interval: time::Duration,
 }
 
--- a/crates/steering/src/dedup/message.rs
+++ b/crates/steering/src/dedup/message.rs
@@ -3,11 +3,13 @@
 use std::time;
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use super::run_outcome;
-use crate::model;
+use crate::{model, numbers};
 
 /// A message between hosts; it may be lost, delayed, duplicated or reordered.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// Home to witness: the request is about to run.
@@ -17,6 +19,7 @@
         /// Hash of the request.
         fingerprint: u64,
         /// How long to retain the record.
+        #[serde_as(as = "numbers::Bounded<serde_with::Same>")]
         retention: time::Duration,
     },
     /// Witness to home: reply to `Record`.
@@ -35,6 +38,7 @@
         /// Outcome of the run.
         end: run_outcome::RunOutcome,
         /// How long to retain the record.
+        #[serde_as(as = "numbers::Bounded<serde_with::Same>")]
         retention: time::Duration,
     },
     /// Witness to home: reply to `Close`.
--- a/crates/steering/src/drain/plan.rs
+++ b/crates/steering/src/drain/plan.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use crate::{config, model};
+use crate::{config, model, numbers};
 
 /// Ratio of the planned duration of the capped shift steps to their minimum duration; leaves time
 /// for steps that begin late.
@@ -89,8 +89,8 @@
         .filter(|(_, work)| served(work))
         .map(|(id, _)| doc.shift_cap(id))
         .map(|cap| {
-            cap.interval
-                .mul_f64((1.0 / cap.share).ceil() * SHIFT_TIME_RATIO)
+            let intervals = (1.0 / cap.share).ceil() * SHIFT_TIME_RATIO;
+            numbers::saturating_duration(cap.interval.as_secs_f64() * intervals)
         })
         .max()
         .unwrap_or_default()
--- a/crates/steering/src/numbers/adapters.rs
+++ b/crates/steering/src/numbers/adapters.rs
@@ -1,26 +1,77 @@
 //! Adapters of `serde_with` for numbers from outside.
 
-use std::time;
+use std::{marker, time};
 
-use serde::{Deserialize, Deserializer, de};
-use serde_with::DeserializeAs;
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use serde_with::{DeserializeAs, SerializeAs};
 
-use super::duration;
+use super::{MAX_REQUESTS, duration};
 
-/// A number of seconds, with fractions, that must lie within the bounds of a duration.
-pub struct Seconds;
+/// A duration or a count of requests, read by another adapter, that must be at most
+/// [`duration::MAX_DURATION`] or [`MAX_REQUESTS`].
+pub struct Bounded<A>(marker::PhantomData<A>);
+
+/// A number that must be finite and not negative.
+pub struct Finite;
 
 /// A bound that operators set: a value above the largest one counts as the largest.  Applies to
 /// numbers of seconds as durations, and to counts.
 pub struct Saturating;
 
-impl<'de> DeserializeAs<'de, time::Duration> for Seconds {
+impl<'de, A> DeserializeAs<'de, time::Duration> for Bounded<A>
+where
+    A: DeserializeAs<'de, time::Duration>,
+{
     fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<time::Duration, D::Error> {
-        let seconds = f64::deserialize(deserializer)?;
-        duration::duration_from_secs(seconds).ok_or_else(|| {
-            let max = duration::MAX_DURATION.as_secs();
-            de::Error::custom(format!("{seconds} s is not between 0 and {max} s"))
-        })
+        let duration = A::deserialize_as(deserializer)?;
+        let max = duration::MAX_DURATION;
+        match duration <= max {
+            true => Ok(duration),
+            false => Err(de::Error::custom(format!(
+                "{} s is longer than {} s",
+                duration.as_secs(),
+                max.as_secs()
+            ))),
+        }
+    }
+}
+
+impl<'de, A> DeserializeAs<'de, u32> for Bounded<A>
+where
+    A: DeserializeAs<'de, u32>,
+{
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+        let requests = A::deserialize_as(deserializer)?;
+        match requests <= MAX_REQUESTS {
+            true => Ok(requests),
+            false => Err(de::Error::custom(format!(
+                "{requests} is above {MAX_REQUESTS}"
+            ))),
+        }
+    }
+}
+
+impl<T, A: SerializeAs<T>> SerializeAs<T> for Bounded<A> {
+    fn serialize_as<S: Serializer>(value: &T, serializer: S) -> Result<S::Ok, S::Error> {
+        A::serialize_as(value, serializer)
+    }
+}
+
+impl<'de> DeserializeAs<'de, f64> for Finite {
+    fn deserialize_as<D: Deserializer<'de>>(deserializer: D) -> Result<f64, D::Error> {
+        let number = f64::deserialize(deserializer)?;
+        match number.is_finite() && number >= 0.0 {
+            true => Ok(number),
+            false => Err(de::Error::custom(format!(
+                "{number} is not finite, or negative"
+            ))),
+        }
+    }
+}
+
+impl SerializeAs<f64> for Finite {
+    fn serialize_as<S: Serializer>(number: &f64, serializer: S) -> Result<S::Ok, S::Error> {
+        number.serialize(serializer)
     }
 }
 
--- a/crates/steering/src/numbers/mod.rs
+++ b/crates/steering/src/numbers/mod.rs
@@ -7,7 +7,7 @@
 mod adapters;
 mod duration;
 
-pub use adapters::{Saturating, Seconds};
+pub use adapters::{Bounded, Finite, Saturating};
 pub use duration::{MAX_DURATION, duration_from_secs, saturating_duration};
 
 /// Largest number of requests that a backend server or a host may have, or take, at once.
--- a/crates/steering/src/pool/machine.rs
+++ b/crates/steering/src/pool/machine.rs
@@ -280,7 +280,9 @@
             .map(|(id, work)| {
                 (
                     id.clone(),
-                    work.cfg.queue_per_slot * pool.slots_for(work, now),
+                    work.cfg
+                        .queue_per_slot
+                        .saturating_mul(pool.slots_for(work, now)),
                 )
             })
             .collect::<Vec<_>>();
--- a/crates/steering/src/steer/message.rs
+++ b/crates/steering/src/steer/message.rs
@@ -3,8 +3,9 @@
 use std::{collections, time};
 
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
-use crate::{capacity, model, shift};
+use crate::{capacity, model, numbers, shift};
 
 /// An action that the user of the state machine carries out.
 #[derive(Clone, Debug, PartialEq)]
@@ -43,12 +44,14 @@
 }
 
 /// Load of one host for one service.
+#[serde_as]
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
     /// Usable slots, slots in use and waiting requests of the servers that the host owns.
     pub capacity: capacity::Capacity,
     /// Demand in slots of the requests that arrive at the host from callers of its own data centre,
     /// wherever they are served.
+    #[serde_as(as = "numbers::Finite")]
     pub demand_slots: f64,
 }
 
--- a/crates/steering/src/steer/router.rs
+++ b/crates/steering/src/steer/router.rs
@@ -285,7 +285,8 @@
         };
         let sent = self.sent_since_report.get(host).copied().unwrap_or(0);
         capacity.map_or(DEFAULT_UTILIZATION, |c| {
-            f64::from(c.in_use + c.queued + sent) / f64::from(c.slots).max(0.5)
+            (f64::from(c.in_use) + f64::from(c.queued) + f64::from(sent))
+                / f64::from(c.slots).max(0.5)
         })
     }
 
