Believe no position at the end of its type, and watch the server for hosts

Positions above 2^53 are dropped like other parts of messages that can't be used. With TLS, yuccatided did not look at the end of its server for other hosts; it does now, and the chunks that a task lacked when it ended are asked for again.

Without the change of message_check.rs the property test of messages fails (era above 2^53); it holds now.

--- a/crates/node/src/daemon/peers.rs
+++ b/crates/node/src/daemon/peers.rs
@@ -2,7 +2,7 @@
 
 use std::{io, sync, time};
 
-use futures::stream;
+use futures::{future, stream};
 use tokio::net as tokio_net;
 use tokio_util::sync as tokio_sync;
 
@@ -23,18 +23,21 @@
 }
 
 impl Peers {
-    /// Serves other hosts until the task is dropped.  New certificates are taken in when their
+    /// Serves other hosts until the task is dropped or the server fails.  New certificates are taken in when their
     /// files change; connections with the old ones finish their calls.
     pub(super) async fn serve(mut self) {
         loop {
             let stop = tokio_sync::CancellationToken::new();
-            let server = self.start(stop.clone());
-            let Some(identity) = self.changed_identity().await else {
+            let mut server = self.start(stop.clone());
+            let identity = tokio::select! {
                 // Without TLS nothing changes.
-                if let Err(e) = server.await {
-                    log::error!(error:% = e; "the server for other hosts ended");
+                Some(identity) = self.changed_identity() => identity,
+                ended = &mut server => {
+                    if let Err(e) = ended {
+                        log::error!(error:% = e; "the server for other hosts ended");
+                    }
+                    return;
                 }
-                return;
             };
             self.links.set_identity(identity.clone());
             self.identity = Some(identity);
@@ -52,7 +55,8 @@
                 Ok(server) => server,
                 Err(e) => {
                     log::error!(error:% = e; "the certificates can't be used");
-                    return tokio::spawn(async {});
+                    // Others may come.
+                    return tokio::spawn(future::pending());
                 }
             };
         }
--- a/crates/node/src/engine/blocks.rs
+++ b/crates/node/src/engine/blocks.rs
@@ -25,6 +25,10 @@
     /// Loads the chunks that the configuration names until the task is dropped.  Look-ups use the
     /// former table until the new one is whole.
     pub async fn load_blocks(self: sync::Arc<engine::Engine>) {
+        // Chunks that the task lacked when it ended before.
+        if !self.lock().loader.missing().is_empty() {
+            self.chunks_wanted.notify_one();
+        }
         loop {
             self.chunks_wanted.notified().await;
             let mut attempt = 0;
--- a/crates/steering/src/gateway/message_check.rs
+++ b/crates/steering/src/gateway/message_check.rs
@@ -1,11 +1,15 @@
 //! Checks of the numbers in messages of other hosts.
 
-use super::{messages, signal_book};
+use super::{messages, signal_book, store_revision, store_view};
 use crate::{numbers, quota};
 
 /// Largest number of slots that a message may name as demand.
 const MAX_SLOTS: f64 = u32::MAX as f64;
 
+/// Largest era and revision of the store that a message may name, the largest integer that all readers
+/// of JSON hold exactly.  No later position would be newer than one at the end of the type.
+const MAX_POSITION: u64 = 1 << 53;
+
 impl messages::Message {
     /// Drops the parts whose numbers lie outside the bounds of what calculates with them, and returns
     /// how many these were.  The others hold.
@@ -17,20 +21,22 @@
                 }) + retain(&mut heartbeat.loads, is_usable_load)
                     + retain(&mut heartbeat.shares, is_usable_share)
                     + retain(&mut heartbeat.limits, is_usable_limit)
+                    + drop_positions(&mut heartbeat.store, &mut heartbeat.store_checks)
             }
             messages::Message::Summary { summary, .. } => {
                 retain(&mut summary.loads, is_usable_load)
                     + retain(&mut summary.shares, is_usable_share)
                     + retain(&mut summary.limits, is_usable_limit)
+                    + drop_positions(&mut summary.store, &mut Default::default())
             }
+            messages::Message::StoreReport { progress, checks } => drop_positions(progress, checks),
             messages::Message::Quota(quota::Message::Grant(grant)) => {
                 retain(&mut grant.granted, is_usable_grant)
             }
             // What can't be granted of it is answered so.
             messages::Message::Quota(quota::Message::Ask(_))
             | messages::Message::Introduction(_)
-            | messages::Message::Contacts(_)
-            | messages::Message::StoreReport { .. } => 0,
+            | messages::Message::Contacts(_) => 0,
         }
     }
 }
@@ -41,6 +47,22 @@
     all - parts.len()
 }
 
+/// Drops positions of the store that are out of bounds; with the era all that belongs to it.
+fn drop_positions(
+    progress: &mut store_revision::StoreProgress,
+    checks: &mut store_view::StoreChecks,
+) -> usize {
+    if progress.era > MAX_POSITION {
+        *progress = store_revision::StoreProgress::default();
+        *checks = store_view::StoreChecks::default();
+        return 1;
+    }
+    let all = progress.revisions.len() + checks.read.len();
+    progress.revisions.retain(|_, at| *at <= MAX_POSITION);
+    checks.read.retain(|_, at| *at <= MAX_POSITION);
+    all - progress.revisions.len() - checks.read.len()
+}
+
 fn is_usable_load(load: &messages::Load) -> bool {
     (0.0..=MAX_SLOTS).contains(&load.slots)
 }
