Leave odd entries of another writer in the soak

It leaves entries like those of servers with an odd number now, drawn by themselves so that a seed keeps its other events; they disturb no promise.

--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -118,6 +118,19 @@
     Leave,
 }
 
+/// Numbers that another writer leaves in the entry of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub enum OddNumber {
+    /// A remaining warm-up that a signed number of milliseconds below zero makes.
+    WarmupUnderflow,
+    /// The longest remaining warm-up.
+    LongestWarmup,
+    /// A remaining warm-up that no duration holds.
+    HugeWarmup,
+    /// The largest number of slots.
+    MostSlots,
+}
+
 /// One kind of event, with its target.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub enum Fault {
@@ -155,6 +168,9 @@
     Spoil(usize, Spoilt),
     /// A backend server says something of itself.
     Signal(usize, Signal),
+    /// Another writer leaves an entry like that of a server, with an odd number; it is removed at the
+    /// end.
+    OddEntry(usize, OddNumber),
     /// Operators change the configuration.
     Config,
     /// Operators change the configuration several times in a row.
@@ -173,6 +189,7 @@
                 | Fault::Drain(_)
                 | Fault::Vanish(_)
                 | Fault::Signal(..)
+                | Fault::OddEntry(..)
                 | Fault::Config
                 | Fault::Storm
                 | Fault::Evacuate(_)
@@ -207,6 +224,7 @@
     events.extend(signals(seed, size, length));
     events.extend(returns_of_the_store(seed, length));
     events.extend(silences(seed, size, length));
+    events.extend(odd_entries(seed, size, length));
     events.sort_by_key(|event| event.at);
     events
 }
@@ -239,6 +257,31 @@
     events
 }
 
+/// Entries of another writer, drawn by themselves for the same reason.
+fn odd_entries(seed: u64, size: Size, length: Duration) -> Vec<Event> {
+    const NUMBERS: [OddNumber; 4] = [
+        OddNumber::WarmupUnderflow,
+        OddNumber::LongestWarmup,
+        OddNumber::HugeWarmup,
+        OddNumber::MostSlots,
+    ];
+    let mut rng = Pcg64::seed_from_u64(seed.rotate_left(48) ^ 3);
+    let mut events = Vec::new();
+    let mut at = START;
+    while at < length {
+        let number = *NUMBERS
+            .choose(&mut rng)
+            .unwrap_or(&OddNumber::LongestWarmup);
+        events.push(Event {
+            at,
+            lasts: Duration::from_millis(rng.random_range(1000..8000)),
+            fault: Fault::OddEntry(rng.random_range(0..size.servers), number),
+        });
+        at += Duration::from_millis(rng.random_range(1500..6000));
+    }
+    events
+}
+
 /// Returns of the store from an older copy, drawn by themselves for the same reason: one in each time
 /// with faults.
 fn returns_of_the_store(seed: u64, length: Duration) -> Vec<Event> {
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -171,6 +171,7 @@
             Fault::Slow(place) => self.harm(place, |harm| harm.is_slow = true),
             Fault::Spoil(place, spoilt) => self.harm(place, |harm| harm.spoilt = Some(spoilt)),
             Fault::Signal(place, signal) => self.give_signal(place, signal),
+            Fault::OddEntry(place, number) => self.leave_odd_entry(place, number),
             Fault::Config => self.change_config(),
             Fault::Storm => {
                 for _ in 0..STORM.0 {
@@ -234,6 +235,10 @@
                 self.book
                     .with(|seen| seen.signals.push((server, signal, span)));
             }
+            Fault::OddEntry(place, _) => {
+                let name = odd_entry_name(place);
+                self.store.remove(objects::SERVERS_KIND, &name);
+            }
             Fault::Evacuate(data_centre) => self.take_back(data_centre),
             Fault::Reload(_) | Fault::Config | Fault::Storm | Fault::Silence(..) => {}
         }
@@ -449,6 +454,23 @@
         true
     }
 
+    /// Leaves an entry like that of the server at a place, with an odd number.
+    fn leave_odd_entry(&self, place: usize, number: plan::OddNumber) -> bool {
+        let mut spec = self.places[place].entry.spec();
+        let (field, value) = match number {
+            plan::OddNumber::WarmupUnderflow => {
+                ("warmup_left_s", 18_446_744_073_709_521_616_u64.into())
+            }
+            plan::OddNumber::LongestWarmup => ("warmup_left_s", u64::MAX.into()),
+            plan::OddNumber::HugeWarmup => ("warmup_left_s", 1e300.into()),
+            plan::OddNumber::MostSlots => ("slots", u32::MAX.into()),
+        };
+        spec[field] = value;
+        let name = odd_entry_name(place);
+        self.store.put(objects::SERVERS_KIND, &name, spec);
+        true
+    }
+
     fn evacuate(&mut self, data_centre: usize) -> bool {
         let is_new = !self.evacuated.contains_key(&data_centre);
         if is_new {
@@ -480,6 +502,11 @@
     true
 }
 
+/// Name of another writer's entry that is like the one of the server at a place.
+fn odd_entry_name(place: usize) -> String {
+    format!("odd-{place}")
+}
+
 fn regions() -> collections::BTreeMap<String, String> {
     REGIONS
         .iter()
