--- a/crates/steering/src/gateway/policy.rs
+++ b/crates/steering/src/gateway/policy.rs
@@ -118,16 +118,11 @@
 impl Policy {
     /// Checks that all numbers lie within the bounds of what calculates with them.
     pub fn check(&self) -> Result<(), InvalidPolicy> {
-        let routes = self.routes.iter().try_for_each(Route::check);
-        let services = || {
-            let mut services = self.services.iter();
-            services.try_for_each(|(name, service)| service.check(name))
-        };
-        let customers = || self.customers.iter().try_for_each(check_customer);
-        routes
-            .and_then(|()| services())
-            .and_then(|()| customers())
-            .and_then(|()| self.limits.check())
+        let mut services = self.services.iter();
+        self.routes.iter().try_for_each(Route::check)?;
+        services.try_for_each(|(name, service)| service.check(name))?;
+        self.customers.iter().try_for_each(check_customer)?;
+        self.limits.check()
     }
 
     /// Names of all routes.
