--- a/crates/node/src/daemon/peers.rs
+++ b/crates/node/src/daemon/peers.rs
@@ -23,8 +23,8 @@
 }
 
 impl Peers {
-    /// Serves other hosts until the task is dropped or the server fails.  New certificates are taken in when their
-    /// files change; connections with the old ones finish their calls.
+    /// Serves other hosts until the task is dropped or the server fails.  New certificates are taken
+    /// in when their files change; connections with the old ones finish their calls.
     pub(super) async fn serve(mut self) {
         loop {
             let stop = tokio_sync::CancellationToken::new();
