review: concurrent clients in the case of a failing server

One client after the other met the failing server once in 210 requests; twelve at a time meet it at once, before hosts avoid it.

--- a/review/standins-3/case_failed_with_refusal.rs
+++ b/review/standins-3/case_failed_with_refusal.rs
@@ -16,7 +16,13 @@
 /// Servers, of which one fails: a share of 0.14.
 const SERVERS: u8 = 7;
 
-const REQUESTS: usize = 210;
+/// Slots of each server, and the work of a request.
+const SLOTS: u32 = 2;
+const WORK: Duration = Duration::from_millis(80);
+
+/// Clients, and the requests of each, one after the other.
+const CLIENTS: usize = 12;
+const REQUESTS: usize = 40;
 
 fn main() {
     let record = Record::new();
@@ -30,11 +36,13 @@
     let run: Arc<Mutex<HashMap<String, u32>>> = Arc::default();
     for i in 0..SERVERS {
         let (log, run) = (record.clone(), run.clone());
-        Server::start(ip(20 + i), &store, &format!("i-{i}"), "log", "rosario", move |server, req, connection| {
+        let id = format!("i-{i}");
+        Server::start_with(ip(20 + i), &store, &id, "log", "rosario", SLOTS, Duration::ZERO, move |server, req, connection| {
             let number: usize = req.id().rsplit('-').next().and_then(|text| text.parse().ok()).unwrap_or(0);
             *run.lock().unwrap().entry(req.id().to_string()).or_default() += 1;
             // One fails half of what it runs; its status check stays good.
             let fails = has_trouble() && server.id == "i-0" && number % 2 == 0;
+            thread::sleep(WORK);
             let status = if fails { "503 Service Unavailable" } else { "200 OK" };
             log.add(format!("{} ran {} and answers {status}", server.id, req.id()));
             connection.write(&answer(status, &signed(req), b"its words")).is_ok()
@@ -43,19 +51,31 @@
     platform.start(&host, true);
     platform.until_ready(&host, &record);
     thread::sleep(Duration::from_secs(4));
-    let mut broken = 0;
-    for number in 0..REQUESTS {
-        let id = format!("book-{number}");
-        let answer = ask(host.front, &request("PUT", "/book/x", &id, "", b"x"), Duration::from_secs(4));
-        let runs = run.lock().unwrap().get(&id).copied().unwrap_or(0);
-        let status = answer.as_ref().map_or(0, Message::status);
-        record.add(format!("client {id}: {:?}, runs {runs}", answer.map(|answer| answer.status())));
-        if matches!(status, 408 | 421 | 429 | 503) && runs > 0 {
-            broken += 1;
-        }
-        thread::sleep(Duration::from_millis(20));
-    }
-    record.add(format!("{broken} of {REQUESTS} were told that they had not run, and had"));
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|client| {
+            let (record, run, front) = (record.clone(), run.clone(), host.front);
+            thread::spawn(move || {
+                let mut broken = 0;
+                for number in 0..REQUESTS {
+                    let id = format!("book-{client}-{number}");
+                    let req = request("PUT", "/book/x", &id, "", b"x");
+                    let answer = ask(front, &req, Duration::from_secs(4));
+                    let runs = run.lock().unwrap().get(&id).copied().unwrap_or(0);
+                    let status = answer.as_ref().map_or(0, Message::status);
+                    record.add(format!("client {id}: {:?}, runs {runs}", answer.map(|answer| answer.status())));
+                    if matches!(status, 408 | 421 | 429 | 503) && runs > 0 {
+                        broken += 1;
+                    }
+                }
+                broken
+            })
+        })
+        .collect();
+    let broken: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
+    record.add(format!(
+        "{broken} of {} were told that they had not run, and had",
+        CLIENTS * REQUESTS
+    ));
     match broken > 0 {
         true => record.end(&platform, BROKEN, "requests that had run were answered with a promise that they had not"),
         false => record.end(&platform, HELD, "no request that had run was refused"),
--- a/review/standins-3/support.rs
+++ b/review/standins-3/support.rs
@@ -300,8 +300,9 @@
     )
 }
 
-/// Objects on a page of a list.
+/// Objects on a page of a list, and their bytes.
 const PAGE: usize = 50;
+const PAGE_BYTES: usize = 1 << 20;
 
 impl Store {
     pub fn start(ip: Ipv4Addr) -> Store {
@@ -395,12 +396,14 @@
     fn list(&self, kind: &str, after: Option<&str>) -> String {
         let state = self.state.0.lock().unwrap();
         let mut items: Vec<String> = Vec::new();
+        let mut bytes = 0;
         let mut has_more = false;
         for ((of_kind, name), object) in &state.objects {
             if of_kind != kind || after.is_some_and(|after| name.as_str() <= after) {
                 continue;
             }
-            if items.len() == PAGE {
+            bytes += object.spec.len();
+            if items.len() == PAGE || bytes > PAGE_BYTES && !items.is_empty() {
                 has_more = true;
                 break;
             }
