--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -4,8 +4,8 @@
 CASE_DIR=$(pwd)
 export CASE_DIR
 cd ../.. || exit 2
-[ -x target/review-3/case_lookup_silence ] || exit 2
-target/review-3/case_lookup_silence
+[ -x target/review-3/case_failed_with_refusal ] || exit 2
+target/review-3/case_failed_with_refusal
 code=$?
 [ "$code" -le 1 ] || exit 2
 exit "$code"
--- a/review/standins-3/case_failed_with_refusal.rs
+++ b/review/standins-3/case_failed_with_refusal.rs
@@ -37,16 +37,40 @@
     for i in 0..SERVERS {
         let (log, run) = (record.clone(), run.clone());
         let id = format!("i-{i}");
-        Server::start_with(ip(20 + i), &store, &id, "log", "rosario", SLOTS, Duration::ZERO, move |server, req, connection| {
-            let number: usize = req.id().rsplit('-').next().and_then(|text| text.parse().ok()).unwrap_or(0);
-            *run.lock().unwrap().entry(req.id().to_string()).or_default() += 1;
-            // One fails half of what it runs; its status check stays good.
-            let fails = has_trouble() && server.id == "i-0" && number % 2 == 0;
-            thread::sleep(WORK);
-            let status = if fails { "503 Service Unavailable" } else { "200 OK" };
-            log.add(format!("{} ran {} and answers {status}", server.id, req.id()));
-            connection.write(&answer(status, &signed(req), b"its words")).is_ok()
-        });
+        Server::start_with(
+            ip(20 + i),
+            &store,
+            &id,
+            "log",
+            "rosario",
+            SLOTS,
+            Duration::ZERO,
+            move |server, req, connection| {
+                let number: usize = req
+                    .id()
+                    .rsplit('-')
+                    .next()
+                    .and_then(|text| text.parse().ok())
+                    .unwrap_or(0);
+                *run.lock().unwrap().entry(req.id().to_string()).or_default() += 1;
+                // One fails half of what it runs; its status check stays good.
+                let fails = has_trouble() && server.id == "i-0" && number % 2 == 0;
+                thread::sleep(WORK);
+                let status = if fails {
+                    "503 Service Unavailable"
+                } else {
+                    "200 OK"
+                };
+                log.add(format!(
+                    "{} ran {} and answers {status}",
+                    server.id,
+                    req.id()
+                ));
+                connection
+                    .write(&answer(status, &signed(req), b"its words"))
+                    .is_ok()
+            },
+        );
     }
     platform.start(&host, true);
     platform.until_ready(&host, &record);
@@ -62,7 +86,10 @@
                     let answer = ask(front, &req, Duration::from_secs(4));
                     let runs = run.lock().unwrap().get(&id).copied().unwrap_or(0);
                     let status = answer.as_ref().map_or(0, Message::status);
-                    record.add(format!("client {id}: {:?}, runs {runs}", answer.map(|answer| answer.status())));
+                    record.add(format!(
+                        "client {id}: {:?}, runs {runs}",
+                        answer.map(|answer| answer.status())
+                    ));
                     if matches!(status, 408 | 421 | 429 | 503) && runs > 0 {
                         broken += 1;
                     }
@@ -71,13 +98,20 @@
             })
         })
         .collect();
-    let broken: usize = clients.into_iter().map(|client| client.join().unwrap_or(0)).sum();
+    let broken: usize = clients
+        .into_iter()
+        .map(|client| client.join().unwrap_or(0))
+        .sum();
     record.add(format!(
         "{broken} of {} were told that they had not run, and had",
         CLIENTS * REQUESTS
     ));
     match broken > 0 {
-        true => record.end(&platform, BROKEN, "requests that had run were answered with a promise that they had not"),
+        true => record.end(
+            &platform,
+            BROKEN,
+            "requests that had run were answered with a promise that they had not",
+        ),
         false => record.end(&platform, HELD, "no request that had run was refused"),
     }
 }
