--- a/review/standins-3/case_lookup_memory.rs
+++ b/review/standins-3/case_lookup_memory.rs
@@ -29,18 +29,34 @@
     let routes = [route("book", "/book/", "unsafe", "log", 3.0)];
     store.put("config", "main", &config(3, &routes, &["log"], ""));
     let ran = record.clone();
-    Server::start(ip(20), &store, "i-1", "log", "rosario", move |_, req, connection| {
-        ran.add(format!("ran {}", req.id()));
-        connection.write(&answer("200 OK", &signed(req), b"done")).is_ok()
-    });
+    Server::start(
+        ip(20),
+        &store,
+        "i-1",
+        "log",
+        "rosario",
+        move |_, req, connection| {
+            ran.add(format!("ran {}", req.id()));
+            connection
+                .write(&answer("200 OK", &signed(req), b"done"))
+                .is_ok()
+        },
+    );
     platform.start(&host, true);
     platform.until_ready(&host, &record);
     thread::sleep(Duration::from_secs(3));
-    let before = ask(host.front, &request("PUT", "/book/1", "calm-1", "", b"x"), Duration::from_secs(3));
+    let before = ask(
+        host.front,
+        &request("PUT", "/book/1", "calm-1", "", b"x"),
+        Duration::from_secs(3),
+    );
     if before.as_ref().map_or(0, |answer| answer.status()) != 200 {
         record.end(&platform, NOT_RUN, "no answer in calm");
     }
-    record.add(format!("calm: answered, memory {:.0} MB", platform.memory_mb(&host)));
+    record.add(format!(
+        "calm: answered, memory {:.0} MB",
+        platform.memory_mb(&host)
+    ));
 
     let platform = Arc::new(platform);
     let peak = Arc::new(Mutex::new(0.0_f64));
@@ -53,9 +69,11 @@
             let mut peak = seen.lock().unwrap();
             *peak = peak.max(memory);
             if memory > MEMORY_MB && !*did_kill.lock().unwrap() {
-                log.add(format!("platform: process at {memory:.0} MB of {MEMORY_MB:.0} MB, killed"));
+                log.add(format!(
+                    "platform: process at {memory:.0} MB of {MEMORY_MB:.0} MB, killed"
+                ));
                 *did_kill.lock().unwrap() = true;
-                watched.signal(&watched_host, "KILL");
+                watched.kill(&watched_host);
             }
             drop(peak);
             thread::sleep(Duration::from_millis(50));
@@ -76,13 +94,19 @@
                     }
                     // In calm the same clients send whole look-ups.
                     if !trouble {
-                        let _ = ask(host.directory, &look_up("rosario", "centro"), Duration::from_secs(2));
+                        let _ = ask(
+                            host.directory,
+                            &look_up("rosario", "centro"),
+                            Duration::from_secs(2),
+                        );
                         continue;
                     }
                     let Ok(mut connection) = Connection::open(host.directory) else {
                         continue;
                     };
-                    let _ = connection.stream.set_write_timeout(Some(Duration::from_secs(1)));
+                    let _ = connection
+                        .stream
+                        .set_write_timeout(Some(Duration::from_secs(1)));
                     let _ = connection.write(&head);
                     open.push(connection);
                 }
@@ -91,14 +115,21 @@
         })
         .collect();
     let begun = Instant::now();
-    let open: Vec<_> = workers.into_iter().filter_map(|worker| worker.join().ok()).collect();
+    let open: Vec<_> = workers
+        .into_iter()
+        .filter_map(|worker| worker.join().ok())
+        .collect();
     record.add(format!(
         "crowd: {} connections with unfinished look-ups in {:.1} s",
         open.iter().map(Vec::len).sum::<usize>(),
         begun.elapsed().as_secs_f64()
     ));
     thread::sleep(Duration::from_secs(2));
-    let after = ask(host.front, &request("PUT", "/book/2", "calm-2", "", b"x"), Duration::from_secs(3));
+    let after = ask(
+        host.front,
+        &request("PUT", "/book/2", "calm-2", "", b"x"),
+        Duration::from_secs(3),
+    );
     record.add(format!(
         "afterwards: {:?}, peak memory {:.0} MB, process runs: {}",
         after.map(|answer| answer.status()),
@@ -107,7 +138,15 @@
     ));
     let has_exceeded = *killed.lock().unwrap();
     match has_exceeded {
-        true => record.end(&platform, BROKEN, "the process exceeded the memory of its machine and was killed"),
-        false => record.end(&platform, HELD, "the process stayed within the memory of its machine"),
+        true => record.end(
+            &platform,
+            BROKEN,
+            "the process exceeded the memory of its machine and was killed",
+        ),
+        false => record.end(
+            &platform,
+            HELD,
+            "the process stayed within the memory of its machine",
+        ),
     }
 }
--- a/review/standins-3/case_slow_answers.rs
+++ b/review/standins-3/case_slow_answers.rs
@@ -35,7 +35,8 @@
     let mut platform = Platform::new(store.address, &[("rosario", "centro")]);
     let host = platform.add_host(ip(10), "front-rosario-1", "rosario", "centro");
     let routes = [route("book", "/book/", "unsafe", "log", 15.0)];
-    let text = config(3, &routes, &["log"], "").replace(r#""idle_timeout_s":15"#, r#""idle_timeout_s":3"#);
+    let text =
+        config(3, &routes, &["log"], "").replace(r#""idle_timeout_s":15"#, r#""idle_timeout_s":3"#);
     store.put("config", "main", &text);
     let pause = match has_trouble() {
         true => PART_PAUSE * SLOWNESS,
@@ -43,26 +44,42 @@
     };
     for i in 0..2 {
         let ran = record.clone();
-        Server::start(ip(20 + i), &store, &format!("i-{i}"), "log", "rosario", move |server, req, connection| {
-            if req.target().ends_with("/short") {
-                return connection.write(&answer("200 OK", &signed(req), b"done")).is_ok();
-            }
-            ran.add(format!("{} began to run {}", server.id, req.id()));
-            let head = format!("HTTP/1.1 200 OK\r\n{}Content-Length: {ANSWER_BYTES}\r\n\r\n", signed(req));
-            let part = vec![b'x'; ANSWER_BYTES / PARTS];
-            if connection.write(head.as_bytes()).is_err() {
-                return false;
-            }
-            for sent in 0..PARTS {
-                if connection.write(&part).is_err() {
-                    ran.add(format!("{} was cut off in its answer to {} after {sent} of {PARTS} parts", server.id, req.id()));
+        Server::start(
+            ip(20 + i),
+            &store,
+            &format!("i-{i}"),
+            "log",
+            "rosario",
+            move |server, req, connection| {
+                if req.target().ends_with("/short") {
+                    return connection
+                        .write(&answer("200 OK", &signed(req), b"done"))
+                        .is_ok();
+                }
+                ran.add(format!("{} began to run {}", server.id, req.id()));
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\n{}Content-Length: {ANSWER_BYTES}\r\n\r\n",
+                    signed(req)
+                );
+                let part = vec![b'x'; ANSWER_BYTES / PARTS];
+                if connection.write(head.as_bytes()).is_err() {
                     return false;
                 }
-                thread::sleep(pause);
-            }
-            ran.add(format!("{} has answered {}", server.id, req.id()));
-            true
-        });
+                for sent in 0..PARTS {
+                    if connection.write(&part).is_err() {
+                        ran.add(format!(
+                            "{} was cut off in its answer to {} after {sent} of {PARTS} parts",
+                            server.id,
+                            req.id()
+                        ));
+                        return false;
+                    }
+                    thread::sleep(pause);
+                }
+                ran.add(format!("{} has answered {}", server.id, req.id()));
+                true
+            },
+        );
     }
     platform.start(&host, true);
     platform.until_ready(&host, &record);
@@ -76,22 +93,31 @@
             if let Ok(mut connection) = Connection::open(front) {
                 connection.set_timeout(Duration::from_secs(15));
                 // The connection is a kept one: it has carried a request before.
-                let _ = connection.write(&request("PUT", "/book/short", &format!("first-{i}"), "", b"x"));
+                let _ = connection.write(&request(
+                    "PUT",
+                    "/book/short",
+                    &format!("first-{i}"),
+                    "",
+                    b"x",
+                ));
                 let first = connection.read(true);
                 let is_kept = matches!(first, Ok(Some(answer)) if answer.status() == 200);
                 let id = format!("long-{i}");
                 let text = request("PUT", "/book/long", &id, "", b"x");
-                let text = String::from_utf8_lossy(&text).replace("X-Deadline-Ms: 3000", "X-Deadline-Ms: 15000");
+                let text = String::from_utf8_lossy(&text)
+                    .replace("X-Deadline-Ms: 3000", "X-Deadline-Ms: 15000");
                 let sent_at = Instant::now();
                 let _ = connection.write(text.as_bytes());
                 // The client reads all the while.
                 let read = connection.read(true);
-                is_answered = matches!(&read, Ok(Some(answer)) if answer.body.len() == ANSWER_BYTES);
+                is_answered =
+                    matches!(&read, Ok(Some(answer)) if answer.body.len() == ANSWER_BYTES);
                 record.add(format!(
                     "client {id} (kept connection: {is_kept}) after {:.1} s: {}",
                     sent_at.elapsed().as_secs_f64(),
                     match read {
-                        Ok(Some(answer)) => format!("{} with {} bytes", answer.status(), answer.body.len()),
+                        Ok(Some(answer)) =>
+                            format!("{} with {} bytes", answer.status(), answer.body.len()),
                         Ok(None) => "closed without an answer".to_string(),
                         Err(e) => format!("no complete answer: {}", e.kind()),
                     }
@@ -102,14 +128,24 @@
     }
     drop(tx);
     let answered = rx.iter().filter(|is_answered| *is_answered).count();
-    for line in platform.log(&host).lines().filter(|line| line.contains("does not read") || line.contains("broken off")) {
+    for line in platform
+        .log(&host)
+        .lines()
+        .filter(|line| line.contains("does not read") || line.contains("broken off"))
+    {
         let message = line.split(r#""message":"#).nth(1).unwrap_or_default();
         record.add(format!("log of the host: {message}"));
     }
     let lost = REQUESTS - answered;
-    record.add(format!("{lost} of {REQUESTS} requests without a complete answer"));
+    record.add(format!(
+        "{lost} of {REQUESTS} requests without a complete answer"
+    ));
     match lost > ALLOWED {
-        true => record.end(&platform, BROKEN, "requests passed on to sound servers ended without an answer"),
+        true => record.end(
+            &platform,
+            BROKEN,
+            "requests passed on to sound servers ended without an answer",
+        ),
         false => record.end(&platform, HELD, "all requests were answered"),
     }
 }
--- a/review/standins-3/case_slow_reading_server.rs
+++ b/review/standins-3/case_slow_reading_server.rs
@@ -42,28 +42,59 @@
         route("load", "/load/", "unsafe", "batch", 60.0),
         route("read", "/read/", "safe", "small", 2.0),
     ];
-    store.put("config", "main", &config(3, &routes, &["batch", "small"], ""));
+    store.put(
+        "config",
+        "main",
+        &config(3, &routes, &["batch", "small"], ""),
+    );
     let pause = match has_trouble() {
         true => SLOW_READ_PAUSE,
         false => Duration::ZERO,
     };
-        let mut servers = Vec::new();
+    let mut servers = Vec::new();
     for i in 0..2 {
         let log = record.clone();
         let id = format!("batch-{i}");
-        let server = Server::start_with(ip(20 + i), &store, &id, "batch", "rosario", 8, pause, move |server, req, connection| {
-            log.add(format!("{} has {} with {} bytes and runs it", server.id, req.id(), req.body.len()));
-            connection.write(&answer("200 OK", &signed(req), b"done")).is_ok()
-        });
+        let server = Server::start_with(
+            ip(20 + i),
+            &store,
+            &id,
+            "batch",
+            "rosario",
+            8,
+            pause,
+            move |server, req, connection| {
+                log.add(format!(
+                    "{} has {} with {} bytes and runs it",
+                    server.id,
+                    req.id(),
+                    req.body.len()
+                ));
+                connection
+                    .write(&answer("200 OK", &signed(req), b"done"))
+                    .is_ok()
+            },
+        );
         servers.push(server);
     }
     let served = Arc::new(AtomicUsize::new(0));
     let counted = served.clone();
-    Server::start_with(ip(30), &store, "small-1", "small", "rosario", 1, Duration::ZERO, move |_, req, connection| {
-        counted.fetch_add(1, Ordering::Relaxed);
-        thread::sleep(WORK);
-        connection.write(&answer("200 OK", &signed(req), b"done")).is_ok()
-    });
+    Server::start_with(
+        ip(30),
+        &store,
+        "small-1",
+        "small",
+        "rosario",
+        1,
+        Duration::ZERO,
+        move |_, req, connection| {
+            counted.fetch_add(1, Ordering::Relaxed);
+            thread::sleep(WORK);
+            connection
+                .write(&answer("200 OK", &signed(req), b"done"))
+                .is_ok()
+        },
+    );
     platform.start(&host, true);
     platform.until_ready(&host, &record);
     thread::sleep(Duration::from_secs(4));
@@ -97,16 +128,27 @@
             let mut is_answered = false;
             if let Ok(mut connection) = Connection::open(front) {
                 connection.set_timeout(Duration::from_secs(60));
-                let _ = connection.write(&request("PUT", "/load/first", &format!("first-{i}"), "", b"x"));
+                let _ = connection.write(&request(
+                    "PUT",
+                    "/load/first",
+                    &format!("first-{i}"),
+                    "",
+                    b"x",
+                ));
                 let _ = connection.read(true);
                 let text = request("PUT", "/load/long", &id, "", &[]);
                 let text = String::from_utf8_lossy(&text)
                     .replace("X-Deadline-Ms: 3000", "X-Deadline-Ms: 60000")
-                    .replace("Content-Length: 0", &format!("Content-Length: {BODY_BYTES}"));
+                    .replace(
+                        "Content-Length: 0",
+                        &format!("Content-Length: {BODY_BYTES}"),
+                    );
                 let sent_at = Instant::now();
                 let body = vec![b'x'; BODY_BYTES];
                 // The client sends as fast as it may.
-                let written = connection.write(text.as_bytes()).and_then(|()| connection.write(&body));
+                let written = connection
+                    .write(text.as_bytes())
+                    .and_then(|()| connection.write(&body));
                 let sent_after = sent_at.elapsed().as_secs_f64();
                 let read = connection.read(true);
                 is_answered = matches!(&read, Ok(Some(answer)) if answer.status() == 200);
@@ -116,7 +158,10 @@
                     (Ok(()), Err(e)) => format!("no answer: {}", e.kind()),
                     (Err(e), _) => format!("the connection was closed while it sent: {}", e.kind()),
                 };
-                outcome = format!("{outcome}; sent in {sent_after:.1} s, ended after {:.1} s", sent_at.elapsed().as_secs_f64());
+                outcome = format!(
+                    "{outcome}; sent in {sent_after:.1} s, ended after {:.1} s",
+                    sent_at.elapsed().as_secs_f64()
+                );
             }
             record.add(format!("client {id}: {outcome}"));
             let _ = tx.send((id, is_answered));
@@ -131,7 +176,11 @@
         served.load(Ordering::Relaxed),
         refused.load(Ordering::Relaxed)
     ));
-    let is_passed_on = |id: &String| servers.iter().any(|server| server.heads.lock().unwrap().contains(id));
+    let is_passed_on = |id: &String| {
+        servers
+            .iter()
+            .any(|server| server.heads.lock().unwrap().contains(id))
+    };
     let lost = unanswered.iter().filter(|id| is_passed_on(id)).count();
     record.add(format!(
         "{} of {UPLOADS} uploads without an answer, of which {lost} had been passed on to a server",
@@ -141,7 +190,11 @@
         record.end(&platform, NOT_RUN, "nothing was refused");
     }
     match lost > ALLOWED {
-        true => record.end(&platform, BROKEN, "uploads passed on to sound servers were closed without an answer"),
+        true => record.end(
+            &platform,
+            BROKEN,
+            "uploads passed on to sound servers were closed without an answer",
+        ),
         false => record.end(&platform, HELD, "all uploads were answered"),
     }
 }
