Pass on no status of a server as a promise that it has not given

A server states that with X-Not-Executed, or with an unsigned 421. The host looked for that statement when it decided whether to send a request again, but passed on every status of a server; 408 and 429 even counted as successes of the server, and a signed 421 as not run.

All other answers are unchanged. The log line of the attempt keeps the server's own status.

Ruled out: that only 503 is misread as a refusal (the client got the server's signature).

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -38,6 +38,9 @@
 
 /// A valid response of a backend server and the outcome that it stands for.
 pub(super) struct ServerResponse {
+    /// Status that the backend server gave.
+    pub(super) status: http::StatusCode,
+    /// Response for the client.
     pub(super) response: response::Response,
     pub(super) outcome: decisions::Outcome,
     pub(super) signals: decisions::ServerSignals,
@@ -99,6 +102,7 @@
                     .release(index, entry.address, connection, keep_alive);
             }
             Ok(ServerResponse {
+                status: head.status,
                 response: client_response(head, body::full(holder.hold(bytes))),
                 outcome,
                 signals,
@@ -117,6 +121,7 @@
                 .saturating_sub(gateway.clock.now());
             let body = body::prefixed_until(holder.hold(bytes), rest, connection, left);
             Ok(ServerResponse {
+                status: head.status,
                 response: client_response(head, body),
                 outcome,
                 signals,
@@ -181,8 +186,10 @@
     named.is_some_and(|id| id.as_bytes() != attempt.client_req.id.as_bytes())
 }
 
-/// Outcome that a response stands for, or why it is not the backend server's own.  On a connection
-/// that is reused, a refusal that names no request may be an earlier one, written once more.
+/// Outcome that a response stands for, or why it is not the backend server's own.  Only the header
+/// `not_run`, or 421 of a server that has not signed it, says that the request has not run; other
+/// statuses that a client would take for that are failures.  On a connection that is reused, a
+/// refusal that names no request may be an earlier one, written once more.
 fn classify(
     gateway: &gateway::Gateway,
     head: &http::response::Parts,
@@ -190,9 +197,14 @@
 ) -> Result<decisions::Outcome, error::Error> {
     let header_names = &gateway.header_names;
     let has = |name: &header::HeaderName| head.headers.contains_key(name);
+    let states_not_run = has(&header_names.not_run);
     let refusal = match head.status {
-        http::StatusCode::MISDIRECTED_REQUEST => Some(decisions::Outcome::Misdirected),
-        _ if has(&header_names.not_run) => Some(decisions::Outcome::Shed),
+        http::StatusCode::MISDIRECTED_REQUEST
+            if states_not_run || !has(&header_names.signature) =>
+        {
+            Some(decisions::Outcome::Misdirected)
+        }
+        _ if states_not_run => Some(decisions::Outcome::Shed),
         _ => None,
     };
     if let Some(refusal) = refusal {
@@ -210,7 +222,7 @@
     if head.status.is_success() && !has(&header_names.signature) {
         return Err(error::Error::Invalid("signature is missing"));
     }
-    match head.status.is_server_error() {
+    match head.status.is_server_error() || response::promises_not_run(head.status) {
         true => Ok(decisions::Outcome::Failed),
         false => Ok(decisions::Outcome::Answered),
     }
@@ -276,8 +288,12 @@
         .collect()
 }
 
-/// Builds the response to the client from that of the backend server.
+/// Builds the response to the client from that of the backend server.  A status that would promise
+/// the client that its request has not run is not passed on: the server has not said so.
 fn client_response(head: http::response::Parts, body: body::Body) -> response::Response {
+    if response::promises_not_run(head.status) {
+        return response::unknown_outcome();
+    }
     let mut response = response::Response::new(body);
     *response.status_mut() = head.status;
     *response.headers_mut() = forwarded_headers(&head.headers);
--- a/crates/node/src/gateway/forward.rs
+++ b/crates/node/src/gateway/forward.rs
@@ -446,7 +446,7 @@
             (decisions::NextAction::Refuse(reason), _) => {
                 return give_up(gateway, &client_req, progress, reason, DEFAULT_RETRY_AFTER);
             }
-            _ => return response::text(http::StatusCode::BAD_GATEWAY, "the outcome is not known"),
+            _ => return response::unknown_outcome(),
         }
     }
 }
@@ -497,7 +497,7 @@
         return failure;
     }
     match progress.has_maybe_run {
-        true => response::text(http::StatusCode::BAD_GATEWAY, "the outcome is not known"),
+        true => response::unknown_outcome(),
         false => refuse(gateway, client_req, reason, retry_after),
     }
 }
@@ -534,7 +534,7 @@
         route = client_req.req.route.name, server = entry.id,
         address:% = entry.address, outcome = outcome.as_str(), arrivals,
         error = result.as_ref().err().map(ToString::to_string),
-        status = result.as_ref().ok().map(|received| received.response.status().as_u16()),
+        status = result.as_ref().ok().map(|received| received.status.as_u16()),
         age_ms = now.saturating_sub(client_req.req.arrived).as_millis() as u64,
         left_ms = client_req.req.deadline.saturating_sub(now).as_millis() as u64, omitted;
         "attempt on a backend server failed"
--- a/crates/node/src/gateway/response.rs
+++ b/crates/node/src/gateway/response.rs
@@ -10,6 +10,25 @@
 
 pub(super) type Response = http::Response<body::Body>;
 
+/// Statuses that promise a client that its request has not run and never will.
+const NOT_RUN_STATUSES: [http::StatusCode; 4] = [
+    http::StatusCode::REQUEST_TIMEOUT,
+    http::StatusCode::MISDIRECTED_REQUEST,
+    http::StatusCode::TOO_MANY_REQUESTS,
+    http::StatusCode::SERVICE_UNAVAILABLE,
+];
+
+/// Whether a client takes a status as the promise that its request has not run and never will.
+pub(super) fn promises_not_run(status: http::StatusCode) -> bool {
+    NOT_RUN_STATUSES.contains(&status)
+}
+
+/// Response to a request that a backend server may have run, without a result that the client can
+/// have.  It promises nothing.
+pub(super) fn unknown_outcome() -> Response {
+    text(http::StatusCode::BAD_GATEWAY, "the outcome is not known")
+}
+
 /// Refuses a request that has not run and tells the client when to retry.
 pub(super) fn refusal(reason: decisions::Reason, retry_after: time::Duration) -> Response {
     let response = text(http::StatusCode::SERVICE_UNAVAILABLE, reason.as_str());
--- a/crates/steering/src/gateway/outcome.rs
+++ b/crates/steering/src/gateway/outcome.rs
@@ -8,7 +8,8 @@
 pub enum Outcome {
     /// Complete response that does not report a server failure.
     Answered,
-    /// Complete response that reports a server failure (5xx).
+    /// Complete response that reports a server failure: 5xx, or a status that claims that the request
+    /// has not run, although the server does not state so.
     Failed,
     /// The backend server had no free capacity and signalled that it did not execute the request.
     Shed,
