Take no older write of a backend server for its latest word

Cause: the store orders writes by the time at which it does them. Hosts took each entry that they read for the server's latest word, and one of any other lifetime, an earlier one too, for a restart. Only a list after the store's return from an older copy was compared with what had been seen.

Change: each entry, from a list, a watch or another host, is compared by `born` and `sequence` with what is known (steering::gateway::entry_order). One that calls a server ready that was seen to leave, and isn't proven to be later, brings no requests; older ones with other fields are kept aside. A later lifetime is applied at once. What stands for longer than an entry can without a renewal ends the doubt, once the server's own status agrees, so that a late write that is the truth, or another writer's number, shuts no server out. Hosts that start meanwhile hear of it from the others. What is remembered is bounded. Status checks run at once, 16 at most.

Ruled out: older positions of the store (both hosts read the change as the newest one) and a lifted mark (none was set).

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::{collections, net, sync, time};
 
+use futures::{StreamExt, stream};
 use tokio::sync::oneshot;
 use tokio_util::sync as tokio_sync;
 use yuccatide_steering::{customers, gateway as decisions, hedging, matching, model};
@@ -21,6 +22,9 @@
 /// Time between looks for backend servers whose status is to be checked.
 const STATUS_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(1);
 
+/// Largest number of status checks at a time.
+const MAX_STATUS_CHECKS: usize = 16;
+
 /// Time between evictions of unusable idle connections.
 const EVICTION_INTERVAL: time::Duration = time::Duration::from_millis(500);
 
@@ -138,26 +142,21 @@
                 self.quotas.apply_policy(state.route_table.policy(), now);
             }
             update::Update::Servers(entries) => {
-                let missing = state.dispatcher.servers.replace(entries, now);
-                missing
-                    .iter()
-                    .for_each(|(id, removal)| report::removal(id, *removal));
+                report::replacement(&state.dispatcher.replace(entries, now));
             }
             update::Update::RestoredServers(entries) => {
-                let (missing, left) = state.dispatcher.replace_restored(entries, now);
-                missing
-                    .iter()
-                    .for_each(|(id, removal)| report::removal(id, *removal));
-                left.iter()
-                    .for_each(|id| report::departed_server_restored(id));
+                report::replacement(&state.dispatcher.replace_restored(entries, now));
             }
             update::Update::Server(entry) => {
                 log::info!(
-                    server = entry.id, service = entry.service,
-                    state:? = entry.state, warmup_ms = entry.warmup_left.as_millis() as u64;
+                    server = entry.id, service = entry.service, state:? = entry.state,
+                    incarnation = entry.incarnation, sequence = entry.sequence,
+                    warmup_ms = entry.warmup_left.as_millis() as u64;
                     "backend server registered or changed"
                 );
-                state.dispatcher.servers.upsert(entry, now);
+                let id = entry.id.clone();
+                let order = state.dispatcher.register(entry, now);
+                report::entry_order(&id, order);
             }
             update::Update::ServerRemoved(id) => {
                 let removal = state.dispatcher.servers.remove(&id, now);
@@ -206,6 +205,9 @@
             for (id, missing) in state.dispatcher.servers.remove_missing(now) {
                 report::not_registered_again(&id, missing);
             }
+            for id in state.dispatcher.servers.apply_lasting(now) {
+                report::lasting_entry(&id);
+            }
             state.apply_evacuations(now);
             state.drop_dead_in_flight(now);
             if has_found_hosts && last_hosts_update.elapsed() >= HOSTS_UPDATE_INTERVAL {
@@ -245,19 +247,23 @@
         loop {
             tokio::time::sleep(STATUS_CHECK_INTERVAL).await;
             let due = self.lock().dispatcher.leaving_to_check(self.clock.now());
-            for (index, entry) in due {
-                let path = self.lock().health_check(&entry.service);
-                let status = status_check::check(&self.header_names, &entry, &path).await;
-                let is_leaving = !matches!(status, Ok(true));
-                let now = self.clock.now();
-                if self
-                    .lock()
-                    .dispatcher
-                    .record_check(index, &entry, is_leaving, now)
-                {
-                    report::leaving_change(&entry.id, is_leaving, time::Duration::ZERO, "status");
-                }
-            }
+            // One that does not answer must not keep others waiting.
+            stream::iter(due)
+                .for_each_concurrent(MAX_STATUS_CHECKS, |(index, entry)| async move {
+                    self.check_status(index, &entry).await;
+                })
+                .await;
+        }
+    }
+
+    async fn check_status(&self, index: decisions::ServerIndex, entry: &decisions::ServerEntry) {
+        let path = self.lock().health_check(&entry.service);
+        let status = status_check::check(&self.header_names, entry, &path).await;
+        let is_leaving = !matches!(status, Ok(true));
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.dispatcher.record_check(index, entry, is_leaving, now) {
+            report::leaving_change(&entry.id, is_leaving, time::Duration::ZERO, "status");
         }
     }
 
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -90,9 +90,35 @@
     );
 }
 
-/// Logs that the store, come back from an older copy, has a backend server as ready that has left.
-pub(super) fn departed_server_restored(id: &str) {
-    log::info!(server = id; "entry of a backend server that has left is back; not used");
+/// Logs what a complete list of the backend servers has changed beside their entries.
+pub(super) fn replacement(replacement: &decisions::Replacement) {
+    for (id, removed) in &replacement.missing {
+        removal(id, *removed);
+    }
+    for (id, order) in &replacement.disordered {
+        entry_order(id, *order);
+    }
+}
+
+/// Logs an entry that is not the latest word of its backend server.
+pub(super) fn entry_order(id: &str, order: decisions::EntryOrder) {
+    match order {
+        decisions::EntryOrder::Latest => {}
+        decisions::EntryOrder::AfterDeparture => {
+            log::info!(
+                server = id;
+                "entry of a backend server that has left is back; not used unless its status says so"
+            );
+        }
+        decisions::EntryOrder::Outdated => {
+            log::info!(server = id; "entry of a backend server is older than a known one; kept aside");
+        }
+    }
+}
+
+/// Logs that an older entry has stood for so long that its backend server must have renewed it.
+pub(super) fn lasting_entry(id: &str) {
+    log::info!(server = id; "older entry of a backend server stands; applied");
 }
 
 /// Logs that no host sends a request any more, since backend servers crash under it; `source` is
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -3,8 +3,9 @@
 use std::{collections, time};
 
 use super::{
-    admission, fairness, outcome, placement, policy, remote_in_flight, request, response_times,
-    retry_budget, send_shares, server, server_set, service_times, signal_book, signals,
+    admission, entry_order, fairness, outcome, placement, policy, remote_in_flight, request,
+    response_times, retry_budget, send_shares, server, server_set, service_times, signal_book,
+    signals,
 };
 use crate::{model, numbers};
 
@@ -25,6 +26,9 @@
 /// ready; most have ended by the first one.
 const LEAVING_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(10);
 
+/// Time between the checks of one whose entry the store had again after it left.
+const DOUBT_CHECK_INTERVAL: time::Duration = time::Duration::from_secs(3);
+
 /// Time after which a client should retry that this host can't serve because other hosts use up the
 /// rates of the backend servers.
 const NO_SHARE_RETRY_AFTER: time::Duration = time::Duration::from_secs(1);
@@ -368,8 +372,9 @@
         news
     }
 
-    /// Backend servers that have long said that they leave, while the store calls them ready.  The
-    /// server's own status tells whether the mark still holds; nothing else ends it.
+    /// Backend servers that have long said that they leave, while the store calls them ready, and those
+    /// that the store has called ready after they left for longer than it could without a renewal of
+    /// their entries.  The server's own status tells whether the mark still holds; nothing else ends it.
     pub fn leaving_to_check(
         &self,
         now: model::Time,
@@ -379,9 +384,14 @@
             .iter()
             .filter(|(_, server)| server.accepts_requests())
             .filter(|(_, server)| {
-                leaving
-                    .said_at(server.name_hash, server.entry.incarnation)
-                    .is_some_and(|at| now >= at + LEAVING_CHECK_INTERVAL)
+                let said_at = leaving.said_at(server.name_hash, server.entry.incarnation);
+                match server.doubted_since {
+                    Some(since) => {
+                        now >= since + self.servers.lapse_time()
+                            && said_at.is_none_or(|at| now >= at + DOUBT_CHECK_INTERVAL)
+                    }
+                    None => said_at.is_some_and(|at| now >= at + LEAVING_CHECK_INTERVAL),
+                }
             })
             .map(|(index, server)| (index, server.entry.clone()))
             .collect()
@@ -396,34 +406,65 @@
         is_leaving: bool,
         now: model::Time,
     ) -> bool {
-        let Some(server) = self.servers.get(index) else {
+        let Some(server) = self.servers.get_mut(index) else {
             return false;
         };
+        let ends_doubt = server.is_doubted() && !is_leaving;
+        if ends_doubt && server.entry.incarnation == entry.incarnation {
+            server.doubted_since = None;
+        }
         let value = is_leaving.then_some(());
         self.shares
             .leaving
             .record(server.name_hash, entry.incarnation, value, now)
     }
 
-    /// Applies the complete list of a store that has come back from an older copy.  A backend server
-    /// that has left, though the list has it as ready, is marked as one that says so itself: its own
-    /// status ends the mark, and other hosts hear of it.  Returns the servers that the list lacks,
-    /// with what became of them, and those that were marked.
+    /// Handles the entry that the store has of a backend server.  One that says that a server is ready
+    /// which was seen to leave may be an older write: the server gets no request until its own status
+    /// tells that it stays, and other hosts hear that it leaves.
+    pub fn register(
+        &mut self,
+        entry: server::ServerEntry,
+        now: model::Time,
+    ) -> entry_order::EntryOrder {
+        let id = entry.id.clone();
+        let order = self.servers.upsert(entry, now);
+        self.mark_if_departed(&id, order, now);
+        order
+    }
+
+    /// Handles all entries that the store has, as [`Dispatcher::register`] does.
+    pub fn replace(
+        &mut self,
+        entries: Vec<server::ServerEntry>,
+        now: model::Time,
+    ) -> server_set::Replacement {
+        let replacement = self.servers.replace(entries, now);
+        for (id, order) in &replacement.disordered {
+            self.mark_if_departed(id, *order, now);
+        }
+        replacement
+    }
+
+    /// The same for a store that has come back from an older copy.
     pub fn replace_restored(
         &mut self,
         entries: Vec<server::ServerEntry>,
         now: model::Time,
-    ) -> (
-        Vec<(model::ServerId, server_set::Removal)>,
-        Vec<model::ServerId>,
-    ) {
-        let (missing, left) = self.servers.replace_restored(entries, now);
-        for entry in &left {
-            let name = server::name_hash(&entry.id);
+    ) -> server_set::Replacement {
+        self.servers.set_restored(now);
+        self.replace(entries, now)
+    }
+
+    fn mark_if_departed(&mut self, id: &str, order: entry_order::EntryOrder, now: model::Time) {
+        if order != entry_order::EntryOrder::AfterDeparture {
+            return;
+        }
+        if let Some(entry) = self.servers.entry(id) {
+            let (name, incarnation) = (server::name_hash(id), entry.incarnation);
             let leaving = &mut self.shares.leaving;
-            leaving.record(name, entry.incarnation, Some(()), now);
+            leaving.record(name, incarnation, Some(()), now);
         }
-        (missing, left.into_iter().map(|entry| entry.id).collect())
     }
 
     /// Drops signals that have ended.
--- a/crates/steering/src/gateway/send_shares.rs
+++ b/crates/steering/src/gateway/send_shares.rs
@@ -191,10 +191,11 @@
         })
     }
 
-    /// Whether the backend server has said in an answer that it leaves.
+    /// Whether the backend server has said in an answer that it leaves, or was seen to leave by an
+    /// entry that an older one may have replaced.
     pub fn is_leaving(&self, server: &server::Server) -> bool {
         let signal = self.leaving.get(server.name_hash, server.entry.incarnation);
-        signal.is_some()
+        signal.is_some() || server.is_doubted()
     }
 
     /// Whether the backend server may get requests, regardless of its load and its rate.
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -59,6 +59,8 @@
     pub warmup_left: time::Duration,
     /// Start time in milliseconds since the Unix epoch; a change means that it has restarted.
     pub incarnation: model::Incarnation,
+    /// Number of the write within the incarnation; `None` if the entry has none.
+    pub sequence: Option<u64>,
 }
 
 /// Whether a backend server accepts new requests.
@@ -117,6 +119,8 @@
     has_responded: bool,
     /// Time since which its entry is missing from the store, while the removal is deferred.
     pub(super) missing_since: Option<model::Time>,
+    /// Time since which its entry says that it is ready after it was seen to leave.
+    pub(super) doubted_since: Option<model::Time>,
 }
 
 /// Hash of a backend server's name; identical on all hosts.
@@ -145,13 +149,17 @@
             cached_objects: collections::VecDeque::new(),
             has_responded: false,
             missing_since: None,
+            doubted_since: None,
         }
     }
 
-    /// Applies a newer entry.  A changed incarnation or address means a restart and resets the
+    /// Applies another entry.  A changed incarnation or address means a restart and resets the
     /// state.
     pub fn update(&mut self, entry: ServerEntry, now: model::Time) {
         self.missing_since = None;
+        if entry.state == ServerState::Draining {
+            self.doubted_since = None;
+        }
         if entry.incarnation != self.entry.incarnation || entry.address != self.entry.address {
             *self = Server::new(entry, now);
             return;
@@ -178,6 +186,12 @@
         self.accepts_requests() && now >= self.ejected_until
     }
 
+    /// Whether its entry says that it is ready after it was seen to leave, and its own status has not
+    /// confirmed that.
+    pub fn is_doubted(&self) -> bool {
+        self.doubted_since.is_some()
+    }
+
     /// Whether its entry is missing from the store and it is kept until it had time to register
     /// again.
     pub fn is_missing(&self) -> bool {
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -2,7 +2,7 @@
 
 use std::{collections, time};
 
-use super::server;
+use super::{entry_order, server};
 use crate::model;
 
 /// Identifies a backend server within the process.
@@ -27,9 +27,15 @@
 /// Interval between two renewals of an entry if the deployment sets none.
 const DEFAULT_RENEWAL_INTERVAL: time::Duration = time::Duration::from_millis(1500);
 
-/// Renewals that a running backend server misses before its entry can lapse: the store removes an
-/// entry after three silent intervals, of which one may have passed when an outage begins.
-const RENEWALS_TO_LAPSE: u32 = 2;
+/// Silent intervals after which the store removes an entry.
+const SILENT_INTERVALS: u32 = 3;
+
+/// Renewals that a running backend server misses before its entry can lapse: of the silent intervals
+/// one may have passed when an outage begins.
+const RENEWALS_TO_LAPSE: u32 = SILENT_INTERVALS - 1;
+
+/// Time beyond the silent intervals by which this host has heard that the store removed an entry.
+const REMOVAL_NEWS_DELAY: time::Duration = time::Duration::from_millis(1500);
 
 /// Longest time that the news of a revision of the store takes from the host that read it to all
 /// others: a summary of another data centre, and the heartbeats before and after it.
@@ -39,9 +45,21 @@
 /// which the store comes back.
 const DEPARTURE_MEMORY: time::Duration = time::Duration::from_secs(60);
 
+/// Largest number of backend servers that have left and are remembered, the last ones.
+const MAX_DEPARTED: usize = 4096;
+
 /// Backend servers of one service, by data centre.
 type Groups = collections::BTreeMap<model::DataCentreId, Vec<ServerIndex>>;
 
+/// What a complete list has changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Replacement {
+    /// Backend servers that it lacks, and what became of them.
+    pub missing: Vec<(model::ServerId, Removal)>,
+    /// Backend servers whose entries are not their latest word.
+    pub disordered: Vec<(model::ServerId, entry_order::EntryOrder)>,
+}
+
 /// The backend servers that a host knows, grouped by service and data centre.
 #[derive(Debug)]
 pub struct ServerSet {
@@ -51,7 +69,9 @@
     evacuated: collections::BTreeSet<model::DataCentreId>,
     warmups: collections::BTreeMap<model::ServiceId, time::Duration>,
     last_index: ServerIndex,
-    /// Backend servers that were removed: their incarnation, and when.
+    /// Entries of the store that are not applied, since newer ones were.
+    outdated: entry_order::OutdatedEntries,
+    /// Backend servers that were removed: their last incarnation, and when.
     departed: collections::HashMap<model::ServerId, (model::Incarnation, model::Time)>,
     /// Time at which the store last came back from an older copy; `None` if it never did.
     restored_at: Option<model::Time>,
@@ -83,6 +103,7 @@
             evacuated: collections::BTreeSet::new(),
             warmups: collections::BTreeMap::new(),
             last_index: 0,
+            outdated: entry_order::OutdatedEntries::default(),
             departed: collections::HashMap::new(),
             restored_at: None,
             renewal_interval: DEFAULT_RENEWAL_INTERVAL,
@@ -94,8 +115,74 @@
 }
 
 impl ServerSet {
-    /// Adds or updates one registered backend server.
-    pub fn upsert(&mut self, entry: server::ServerEntry, now: model::Time) {
+    /// Handles the entry that the store has of a backend server, and returns how it compares with what
+    /// is known: one that is outdated is kept aside, all others are applied.
+    pub fn upsert(
+        &mut self,
+        mut entry: server::ServerEntry,
+        now: model::Time,
+    ) -> entry_order::EntryOrder {
+        let order = self.compare(&entry);
+        if order == entry_order::EntryOrder::Outdated {
+            self.outdated.insert(entry, now);
+            return order;
+        }
+        self.outdated.remove(&entry.id);
+        if let Some(known) = self.entry(&entry.id)
+            && known.incarnation == entry.incarnation
+        {
+            entry.sequence = entry.sequence.max(known.sequence);
+        }
+        let index = self.apply(entry, now);
+        if order == entry_order::EntryOrder::AfterDeparture
+            && let Some(server) = self.servers.get_mut(&index)
+        {
+            server.doubted_since = Some(now);
+        }
+        order
+    }
+
+    /// How an entry compares with what is known of its backend server.
+    fn compare(&self, entry: &server::ServerEntry) -> entry_order::EntryOrder {
+        let index = self.indices.get(&entry.id);
+        let known = index.and_then(|index| self.servers.get(index));
+        let order = known.map_or(entry_order::EntryOrder::Latest, |known| {
+            entry_order::compare(entry, &known.entry, known.is_missing())
+        });
+        let is_known = known.is_some_and(|known| known.entry.incarnation == entry.incarnation);
+        match (order, self.departed.get(&entry.id)) {
+            (entry_order::EntryOrder::Latest, Some((departed, _))) if !is_known => {
+                entry_order::compare_with_departed(entry, *departed)
+            }
+            _ => order,
+        }
+    }
+
+    /// Applies the entries that are older than others but have stood for so long that their backend
+    /// servers must have renewed them; returns their names.  They get requests once their own status
+    /// agrees: several late writes can keep an entry in place, too.
+    pub fn apply_lasting(&mut self, now: model::Time) -> Vec<model::ServerId> {
+        let lasting = self.outdated.take_lasting(self.lapse_time(), now);
+        lasting
+            .into_iter()
+            .map(|(entry, since)| {
+                let id = entry.id.clone();
+                let index = self.apply(entry, now);
+                if let Some(server) = self.servers.get_mut(&index) {
+                    server.doubted_since = Some(since);
+                }
+                id
+            })
+            .collect()
+    }
+
+    /// Time after which an entry that still stands has been renewed by its backend server.
+    pub(super) fn lapse_time(&self) -> time::Duration {
+        self.renewal_interval * SILENT_INTERVALS + REMOVAL_NEWS_DELAY
+    }
+
+    /// Adds or updates a backend server.
+    fn apply(&mut self, entry: server::ServerEntry, now: model::Time) -> ServerIndex {
         let known = self.indices.get(&entry.id).copied();
         if let Some((index, server)) = known.and_then(|i| Some((i, self.servers.get_mut(&i)?))) {
             let old = (
@@ -109,7 +196,7 @@
                 self.leave_group(index, &old.0, &old.1);
                 self.join_group(index, new.0, new.1);
             }
-            return;
+            return index;
         }
         self.last_index += 1;
         self.indices.insert(entry.id.clone(), self.last_index);
@@ -121,6 +208,7 @@
         let mut server = server::Server::new(entry, now);
         server.is_evacuated = self.evacuated.contains(&server.entry.data_centre);
         self.servers.insert(self.last_index, server);
+        self.last_index
     }
 
     /// Sets the interval at which backend servers renew their entries.
@@ -133,6 +221,7 @@
     /// lapse too, so the removal is deferred until they had time to register again.  Where no entry
     /// can have lapsed, its server has left.
     pub fn remove(&mut self, id: &str, now: model::Time) -> Removal {
+        self.outdated.remove(id);
         let Some(index) = self.indices.get(id).copied() else {
             return Removal::Unknown;
         };
@@ -146,68 +235,39 @@
         Removal::Removed
     }
 
-    /// Applies the complete list of registered backend servers.  Returns those that it lacks, with
-    /// what became of them.
-    pub fn replace(
-        &mut self,
-        entries: Vec<server::ServerEntry>,
-        now: model::Time,
-    ) -> Vec<(model::ServerId, Removal)> {
+    /// Applies the complete list of registered backend servers.
+    pub fn replace(&mut self, entries: Vec<server::ServerEntry>, now: model::Time) -> Replacement {
         let registered: collections::HashSet<model::ServerId> =
             entries.iter().map(|entry| entry.id.clone()).collect();
-        entries
-            .into_iter()
-            .for_each(|entry| self.upsert(entry, now));
+        let mut replacement = Replacement::default();
+        for entry in entries {
+            let id = entry.id.clone();
+            let order = self.upsert(entry, now);
+            if order != entry_order::EntryOrder::Latest {
+                replacement.disordered.push((id, order));
+            }
+        }
         let missing: Vec<model::ServerId> = self
             .indices
             .keys()
             .filter(|id| !registered.contains(*id))
             .cloned()
             .collect();
-        missing
-            .into_iter()
-            .map(|id| {
-                let removal = self.remove(&id, now);
-                (id, removal)
-            })
-            .collect()
+        for id in missing {
+            let removal = self.remove(&id, now);
+            replacement.missing.push((id, removal));
+        }
+        replacement
     }
 
-    /// Applies the complete list of a store that has come back from an older copy.  Entries written
-    /// since that copy are lost: backend servers without one are kept until they had time to register
-    /// again, and an entry of an earlier incarnation than the known one is not applied.  Returns the
-    /// missing ones, and those that have left though the list has them as ready.
-    pub fn replace_restored(
-        &mut self,
-        entries: Vec<server::ServerEntry>,
-        now: model::Time,
-    ) -> (Vec<(model::ServerId, Removal)>, Vec<server::ServerEntry>) {
+    /// Records that the store has come back from an older copy.  Entries written since that copy are
+    /// lost: backend servers without one are kept until they had time to register again.
+    pub fn set_restored(&mut self, now: model::Time) {
         self.restored_at = Some(now);
-        let left = entries.iter().filter(|entry| self.has_left(entry));
-        let left = left.cloned().collect();
-        let entries = entries.into_iter().map(|entry| {
-            let known = self.entry(&entry.id);
-            let later = known.filter(|known| known.incarnation > entry.incarnation);
-            later.cloned().unwrap_or(entry)
-        });
-        let entries = entries.collect();
-        (self.replace(entries, now), left)
-    }
-
-    /// Whether an entry says that a backend server is ready which was seen to leave.
-    fn has_left(&self, entry: &server::ServerEntry) -> bool {
-        let was_draining = self.entry(&entry.id).is_some_and(|known| {
-            known.state == server::ServerState::Draining && known.incarnation >= entry.incarnation
-        });
-        let was_removed = self
-            .departed
-            .get(&entry.id)
-            .is_some_and(|(incarnation, _)| *incarnation >= entry.incarnation);
-        entry.state == server::ServerState::Ready && (was_draining || was_removed)
     }
 
     /// Entry of a backend server, if it is known.
-    fn entry(&self, id: &str) -> Option<&server::ServerEntry> {
+    pub(super) fn entry(&self, id: &str) -> Option<&server::ServerEntry> {
         let index = self.indices.get(id)?;
         Some(&self.servers.get(index)?.entry)
     }
@@ -221,6 +281,11 @@
             self.record_served(now);
             return has_changed;
         }
+        // A removal may be missed from now on.
+        self.outdated.restart(now);
+        for server in self.servers.values_mut() {
+            server.doubted_since = server.doubted_since.map(|_| now);
+        }
         // Failures that follow each other without a success are one outage.
         let running = self.last_failure.filter(|failure| {
             failure.served_again.is_none() && failure.served_before == self.last_served
@@ -384,12 +449,25 @@
     fn delete(&mut self, index: ServerIndex, now: model::Time) {
         if let Some(server) = self.servers.remove(&index) {
             self.indices.remove(&server.entry.id);
-            let departure = (server.entry.incarnation, now);
-            self.departed.insert(server.entry.id.clone(), departure);
+            self.record_departure(&server.entry, now);
             self.leave_group(index, &server.entry.service, &server.entry.data_centre);
         }
     }
 
+    fn record_departure(&mut self, entry: &server::ServerEntry, now: model::Time) {
+        let before = self.departed.get(&entry.id).copied();
+        if before.is_none() && self.departed.len() >= MAX_DEPARTED {
+            let first = self.departed.iter().min_by_key(|(_, (_, at))| *at);
+            if let Some(first) = first.map(|(id, _)| id.clone()) {
+                self.departed.remove(&first);
+            }
+        }
+        // What left may have been a late write of an earlier incarnation.
+        let last = before.map_or(0, |(incarnation, _)| incarnation);
+        let departure = (entry.incarnation.max(last), now);
+        self.departed.insert(entry.id.clone(), departure);
+    }
+
     /// Groups are changed in place: with hundreds of servers that start or leave at once, building
     /// them anew for each one costs more processor time than all decisions.
     fn join_group(
--- a/crates/steering/tests/gateway/fixtures.rs
+++ b/crates/steering/tests/gateway/fixtures.rs
@@ -67,6 +67,7 @@
         state: gateway::ServerState::Ready,
         warmup_left: time::Duration::ZERO,
         incarnation: 1,
+        sequence: None,
     }
 }
 
--- a/crates/steering/tests/gateway/main.rs
+++ b/crates/steering/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod crash_book;
 mod customers;
 mod dispatcher;
+mod entry_order;
 mod evacuations;
 mod fairness;
 mod fixtures;
--- a/crates/steering/tests/gateway/restored.rs
+++ b/crates/steering/tests/gateway/restored.rs
@@ -41,8 +41,9 @@
     }
     dispatcher.servers.upsert(draining("s1"), ms(5000));
     dispatcher.servers.remove("s2", ms(6000));
-    let (_, left) = dispatcher.replace_restored(ready.to_vec(), ms(9000));
-    assert_eq!(left, ["s1", "s2"]);
+    let replacement = dispatcher.replace_restored(ready.to_vec(), ms(9000));
+    let left = ["s1", "s2"].map(|id| (id.to_string(), gateway::EntryOrder::AfterDeparture));
+    assert_eq!(replacement.disordered, left);
     for at in [9000, 11_000, 12_000, 30_000] {
         dispatcher.servers.remove_missing(ms(at));
         dispatcher.expire_signals(ms(at));
@@ -84,8 +85,9 @@
         ..fixtures::entry("s1", "a1", 9)
     };
     dispatcher.servers.upsert(restarted.clone(), ms(0));
-    let (_, left) = dispatcher.replace_restored(vec![fixtures::entry("s1", "a1", 9)], ms(9000));
-    assert!(left.is_empty());
+    let replacement = dispatcher.replace_restored(vec![fixtures::entry("s1", "a1", 9)], ms(9000));
+    let kept = ("s1".to_string(), gateway::EntryOrder::Outdated);
+    assert_eq!(replacement.disordered, [kept]);
     let (_, server) = dispatcher.servers.iter().next().unwrap();
     assert_eq!(server.entry, restarted);
     assert_eq!(sent_to(&mut dispatcher, 9000), Some("s1".to_string()));
