--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -175,7 +175,7 @@
             update::Update::Members(members) => {
                 members
                     .into_iter()
-                    .for_each(|member| state.members.upsert(member));
+                    .for_each(|member| state.members.upsert_registered(member, now));
             }
             update::Update::StoreAvailable(answers) => {
                 if state.dispatcher.servers.set_store_available(answers, now) {
--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -41,7 +41,10 @@
     Interrupted(String),
     /// The object exists already, or has another revision.
     #[error("object already exists or has another revision")]
-    Conflict,
+    Conflict {
+        /// Revision that the object has; `None` if the response does not tell.
+        revision: Option<u64>,
+    },
     /// The store no longer has the history that a watch starts from.
     #[error("watch history is no longer available")]
     HistoryGone,
--- a/crates/steering/src/gateway/members.rs
+++ b/crates/steering/src/gateway/members.rs
@@ -110,6 +110,17 @@
         }
     }
 
+    /// Adds or updates a host as the store has it.  The entry may be that of an earlier process of it:
+    /// what a live host says of itself goes before.
+    pub fn upsert_registered(&mut self, member: messages::Member, now: model::Time) {
+        let is_heard = self
+            .live_heartbeats(now)
+            .any(|heartbeat| heartbeat.member.host == member.host);
+        if !is_heard {
+            self.upsert(member);
+        }
+    }
+
     /// Adds a host that another one has named; what a host says of itself goes before it.
     fn learn(&mut self, member: messages::Member) {
         self.known.entry(member.host.clone()).or_insert(member);
--- a/crates/steering/tests/gateway/members.rs
+++ b/crates/steering/tests/gateway/members.rs
@@ -206,3 +206,19 @@
     assert_eq!(members.live_host_count(ms(1)), 2);
     assert_eq!(members.live_host_count(ms(5000)), 1);
 }
+
+/// Guards against messages to the address of an earlier process of a host, whose entry the store still
+/// has or has again.
+#[test]
+fn what_a_live_host_says_of_itself_goes_before_its_entry() {
+    let mut network = Network::new();
+    network.run(0, 1000);
+    let own = member("a1-1", "a1", 1);
+    let members = network.hosts.get_mut(&own.peers).unwrap();
+    let (now, earlier) = (member("a1-2", "a1", 2), member("a1-2", "a1", 99));
+    members.upsert_registered(earlier.clone(), ms(1000));
+    assert_eq!(members.heartbeat_recipients(ms(1000)), [now.peers]);
+    // A host that is not heard is looked for where the store says.
+    members.upsert_registered(earlier.clone(), ms(9000));
+    assert_eq!(members.heartbeat_recipients(ms(9000)), [earlier.peers]);
+}
