--- a/crates/soak/src/judge.rs
+++ b/crates/soak/src/judge.rs
@@ -236,7 +236,6 @@
         });
         let End::Answer {
             status: 408 | 421 | 429 | 503,
-            signature: None,
             ..
         } = req.end
         else {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -14,6 +14,11 @@
 const FAULTY: Duration = Duration::from_secs(9);
 const CALM: Duration = Duration::from_secs(11);
 
+/// Time after a backend server's leaving at which the store does an older heartbeat, and time until
+/// the next one.
+const LATE_HEARTBEAT: (Duration, Duration) =
+    (Duration::from_millis(2800), Duration::from_millis(800));
+
 /// Numbers of what there is.
 #[derive(Clone, Copy, Debug)]
 pub struct Size {
@@ -103,7 +108,7 @@
     Lost,
     /// They name another request.
     Crossed,
-    /// They report a failure.
+    /// They report a failure, some with a status that promises that the request has not run.
     Failed,
 }
 
@@ -160,6 +165,9 @@
     Drain(usize),
     /// A backend server's entry is removed while it still serves.
     Vanish(usize),
+    /// The store does a heartbeat of a leaving backend server that is older than its leaving; at the
+    /// end comes its next heartbeat, or the entry lapses.
+    LateHeartbeat(usize),
     /// A backend server crashes and one of another service takes its address.
     Reuse(usize),
     /// A backend server takes several times as long.
@@ -188,6 +196,7 @@
                 | Fault::Reload(_)
                 | Fault::Drain(_)
                 | Fault::Vanish(_)
+                | Fault::LateHeartbeat(_)
                 | Fault::Signal(..)
                 | Fault::OddEntry(..)
                 | Fault::Config
@@ -360,6 +369,14 @@
             lasts: Duration::from_millis(rng.random_range(lasts)),
             fault,
         });
+        if let Fault::Drain(server) | Fault::Vanish(server) = fault {
+            let (delay, lasts) = LATE_HEARTBEAT;
+            events.push(Event {
+                at: at + delay,
+                lasts,
+                fault: Fault::LateHeartbeat(server),
+            });
+        }
         let gap = if is_faulty { 100..1300 } else { 800..3000 };
         at += Duration::from_millis(rng.random_range(gap));
     }
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -21,9 +21,12 @@
 /// Slowdown of [`plan::Fault::Slow`].
 const SLOWDOWN: u32 = 12;
 
-/// Every how many answers one is spoilt.
+/// Every how many answers one is spoilt, other than by a failure.
 const SPOILT_EVERY: usize = 4;
 
+/// Statuses with which a backend server fails requests that it has run.
+const FAILURES: [u16; 6] = [500, 503, 429, 408, 421, 504];
+
 /// Time for which a started backend server is cold.
 pub const WARMUP: Duration = Duration::from_secs(3);
 /// Requests a second that a cold backend server tolerates.
@@ -57,6 +60,8 @@
     pub harm: sync::Arc<sync::Mutex<Harm>>,
     /// Whether its entry is in the store.
     pub is_registered: bool,
+    /// Whether the present one leaves.
+    pub is_leaving: bool,
     running: Option<backend::Backend>,
     starts: u64,
     number: usize,
@@ -80,6 +85,7 @@
             is_draining: false,
             warmup_left: Duration::ZERO,
             incarnation: 0,
+            sequence: 0,
         };
         let mut place = Place {
             entry,
@@ -87,6 +93,7 @@
             link,
             harm: sync::Arc::default(),
             is_registered: false,
+            is_leaving: false,
             running: None,
             starts: 0,
             number,
@@ -111,7 +118,9 @@
         self.name = format!("s{}-{}", self.number, self.starts);
         self.entry.service = service.to_string();
         self.entry.incarnation = self.starts;
+        self.entry.sequence = 0;
         self.entry.is_draining = false;
+        self.is_leaving = false;
         self.entry.warmup_left = warmup;
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         self.link.lead_to(listener.local_addr()?);
@@ -177,8 +186,11 @@
         }
         let work = work(seen, harm, &mut ends, now);
         drop(ends);
-        let spoilt = harm.spoilt.filter(|_| number % SPOILT_EVERY == 0);
-        run(&name, seen, (spoilt, harm.signal), work, &book)
+        let (spoilt, status) = match harm.spoilt {
+            Some(plan::Spoilt::Failed) => (harm.spoilt, FAILURES[number % FAILURES.len()]),
+            other => (other.filter(|_| number % SPOILT_EVERY == 0), 200),
+        };
+        run(&name, seen, (spoilt, status, harm.signal), work, &book)
     }
 }
 
@@ -231,7 +243,7 @@
 fn run(
     server: &str,
     seen: &backend::ReceivedRequest,
-    (spoilt, signal): (Option<plan::Spoilt>, Option<plan::Signal>),
+    (spoilt, status, signal): (Option<plan::Spoilt>, u16, Option<plan::Signal>),
     work: Duration,
     book: &book::Book,
 ) -> Action {
@@ -239,10 +251,6 @@
     let first_line = seen.head.lines().next().unwrap_or_default();
     let body = format!("{id} {first_line} {}", seen.body.len());
     let signature = format!("{server}.{id}");
-    let status = match spoilt {
-        Some(plan::Spoilt::Failed) => 500,
-        _ => 200,
-    };
     let run = book::Run {
         signature: signature.clone(),
         status,
--- a/crates/soak/src/world.rs
+++ b/crates/soak/src/world.rs
@@ -50,6 +50,8 @@
     /// Copy from which the store comes back, with [`StoreTrouble::ComesBackOlder`] in progress.
     backup: Option<store::StoreBackup>,
     evacuated: collections::HashMap<usize, book::At>,
+    /// Leaving servers whose older heartbeats the store has done, by place: name and own entry.
+    late_heartbeats: collections::HashMap<usize, (String, objects::ServerEntry)>,
 }
 
 /// An event that has begun, and how it ends.
@@ -89,6 +91,7 @@
             version: 0,
             backup: None,
             evacuated: collections::HashMap::new(),
+            late_heartbeats: collections::HashMap::new(),
         };
         world.change_config();
         (0..size.servers).for_each(|place| world.register(place));
@@ -168,6 +171,7 @@
             Fault::Reuse(place) => self.reuse(place).await?,
             Fault::Drain(place) => self.leave(place, true),
             Fault::Vanish(place) => self.leave(place, false),
+            Fault::LateHeartbeat(place) => self.do_heartbeat_late(place),
             Fault::Slow(place) => self.harm(place, |harm| harm.is_slow = true),
             Fault::Spoil(place, spoilt) => self.harm(place, |harm| harm.spoilt = Some(spoilt)),
             Fault::Signal(place, signal) => self.give_signal(place, signal),
@@ -223,6 +227,7 @@
                 tokio::time::sleep(left).await;
                 self.replace(place).await?;
             }
+            Fault::LateHeartbeat(place) => self.end_late_heartbeat(place),
             Fault::Slow(place) => _ = self.harm(place, |harm| harm.is_slow = false),
             Fault::Spoil(place, _) => _ = self.harm(place, |harm| harm.spoilt = None),
             Fault::Signal(place, signal) => {
@@ -345,6 +350,7 @@
     fn register(&mut self, place: usize) {
         let place = &mut self.places[place];
         place.is_registered = true;
+        place.entry.sequence += 1;
         self.store
             .put(objects::SERVERS_KIND, &place.name, place.entry.spec());
     }
@@ -405,9 +411,38 @@
         self.book.with(|seen| seen.leaving.push(leaving));
         // Other events leave the place alone until it is replaced.
         self.places[place].is_registered = false;
+        self.places[place].is_leaving = true;
         true
     }
 
+    fn do_heartbeat_late(&mut self, place: usize) -> bool {
+        let server::Place { name, entry, .. } = &self.places[place];
+        if !self.places[place].is_leaving {
+            return false;
+        }
+        let late = objects::ServerEntry {
+            is_draining: false,
+            sequence: 0,
+            ..entry.clone()
+        };
+        self.store.put(objects::SERVERS_KIND, name, late.spec());
+        let leaving = (name.clone(), entry.clone());
+        self.late_heartbeats.insert(place, leaving);
+        true
+    }
+
+    fn end_late_heartbeat(&mut self, place: usize) {
+        let Some((name, mut entry)) = self.late_heartbeats.remove(&place) else {
+            return;
+        };
+        if entry.is_draining {
+            entry.sequence += 1;
+            self.store.put(objects::SERVERS_KIND, &name, entry.spec());
+        } else {
+            self.store.remove(objects::SERVERS_KIND, &name);
+        }
+    }
+
     /// Has a backend server give a signal; it gives one at a time.
     fn give_signal(&self, place: usize, signal: plan::Signal) -> bool {
         let mut is_first = false;
