Count the failure of a server that breaks off a long answer

A server that breaks off its long answers kept its good record, and got as many requests as before.

Cause: an answer above 256 KiB is passed on when its head has been read, and its attempt ends then, as a success. What comes after is seen by no attempt.

Change: a rest that can't be read is recorded and counted as a failure of the incarnation that gave the answer; a line and broken_answers_total show it. An answer that ends at the deadline or whose client leaves is none.

--- a/crates/node/src/gateway/attempt.rs
+++ b/crates/node/src/gateway/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt to run a request on a backend server.
 
-use std::{sync::atomic, time};
+use std::{sync, sync::atomic, time};
 
 use http::header;
 use yuccatide_steering::{gateway as decisions, matching, model};
@@ -119,7 +119,12 @@
                 .req
                 .deadline
                 .saturating_sub(gateway.clock.now());
-            let body = body::prefixed_until(holder.hold(bytes), rest, connection, left);
+            let broken_answers = sync::Arc::clone(&gateway.broken_answers);
+            let server = (index, entry.incarnation);
+            let body =
+                body::prefixed_until(holder.hold(bytes), rest, connection, left, move || {
+                    broken_answers.record(server);
+                });
             Ok(ServerResponse {
                 status: head.status,
                 response: client_response(head, body),
--- a/crates/node/src/gateway/body.rs
+++ b/crates/node/src/gateway/body.rs
@@ -56,6 +56,7 @@
         start: Some(start),
         rest,
         end: None,
+        on_break: None,
         _guard: (),
     }
     .map_frame(move |frame| {
@@ -69,17 +70,19 @@
 
 /// Body made of `start` and the unread `rest`; `guard` is dropped with it.  It is broken off after
 /// `left`: a backend server that sends bytes without end must not hold a connection and its client
-/// for longer than the client waits.
+/// for longer than the client waits.  `on_break` is called if the backend server breaks it off.
 pub(super) fn prefixed_until<T: Send + Unpin + 'static>(
     start: Bytes,
     rest: body::Incoming,
     guard: T,
     left: time::Duration,
+    on_break: impl FnOnce() + Send + 'static,
 ) -> Body {
     PrefixedBody {
         start: Some(start),
         rest,
         end: Some(Box::pin(tokio::time::sleep(left))),
+        on_break: Some(Box::new(on_break)),
         _guard: guard,
     }
     .boxed_unsync()
@@ -90,6 +93,8 @@
     rest: body::Incoming,
     /// Time at which the body is broken off.
     end: Option<pin::Pin<Box<tokio::time::Sleep>>>,
+    /// Called if the rest can't be read.
+    on_break: Option<Box<dyn FnOnce() + Send>>,
     _guard: T,
 }
 
@@ -111,8 +116,12 @@
             let e = io::Error::new(io::ErrorKind::TimedOut, "no end of the body in time");
             return task::Poll::Ready(Some(Err(e.into())));
         }
-        pin::Pin::new(&mut self.rest)
-            .poll_frame(cx)
-            .map_err(Into::into)
+        let polled = pin::Pin::new(&mut self.rest).poll_frame(cx);
+        if matches!(polled, task::Poll::Ready(Some(Err(_))))
+            && let Some(on_break) = self.on_break.take()
+        {
+            on_break();
+        }
+        polled.map_err(Into::into)
     }
 }
--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -8,8 +8,8 @@
 use yuccatide_steering::{customers, gateway as decisions, hedging, matching, model};
 
 use super::{
-    connection_pool, demand, header_names, log_limit, memory, metrics, quota, report, settings,
-    state, status_check, store_state, update,
+    broken_answers, connection_pool, demand, header_names, log_limit, memory, metrics, quota,
+    report, settings, state, status_check, store_state, update,
 };
 use crate::{clock, tasks};
 
@@ -40,6 +40,7 @@
     pub(super) header_names: header_names::HeaderNames,
     pub(super) clock: clock::Clock,
     pub(super) connection_pool: connection_pool::ConnectionPool,
+    pub(super) broken_answers: sync::Arc<broken_answers::BrokenAnswers>,
     pub(super) log_limiter: log_limit::LogLimiter,
     /// Memory for what clients send and for answers that they have not read.
     pub(super) memory: sync::Arc<memory::MemoryBudget>,
@@ -102,6 +103,7 @@
             started: clock.now(),
             clock,
             connection_pool: connection_pool::ConnectionPool::default(),
+            broken_answers: sync::Arc::default(),
             log_limiter: log_limit::LogLimiter::default(),
             memory: sync::Arc::new(memory::MemoryBudget::new(settings.client_memory)),
             quotas: quota::Quotas::new(settings.quota_bounds),
@@ -208,6 +210,13 @@
             for id in state.dispatcher.servers.apply_lasting(now) {
                 report::lasting_entry(&id);
             }
+            for (index, incarnation) in self.broken_answers.take() {
+                let servers = &mut state.dispatcher.servers;
+                if let Some(id) = servers.record_broken_answer(index, incarnation) {
+                    self.metrics.broken_answers.inc();
+                    report::broken_answer(self, &id);
+                }
+            }
             state.apply_evacuations(now);
             state.drop_dead_in_flight(now);
             if has_found_hosts && last_hosts_update.elapsed() >= HOSTS_UPDATE_INTERVAL {
--- a/crates/node/src/gateway/metrics.rs
+++ b/crates/node/src/gateway/metrics.rs
@@ -104,6 +104,7 @@
     pub(super) limited_servers: gauge::Gauge,
     pub(super) leaving_servers: gauge::Gauge,
     pub(super) server_crashes: counter::Counter,
+    pub(super) broken_answers: counter::Counter,
     pub(super) blocked_requests: gauge::Gauge,
     pub(super) second_attempts: counter::Counter,
     pub(super) second_attempts_won: counter::Counter,
@@ -151,6 +152,7 @@
             limited_servers: gauge::Gauge::default(),
             leaving_servers: gauge::Gauge::default(),
             server_crashes: counter::Counter::default(),
+            broken_answers: counter::Counter::default(),
             blocked_requests: gauge::Gauge::default(),
             second_attempts: counter::Counter::default(),
             second_attempts_won: counter::Counter::default(),
@@ -270,6 +272,11 @@
             "Backend servers that have said in an answer that they leave",
             self.leaving_servers.clone(),
         );
+        registry.register(
+            "broken_answers",
+            "Answers that backend servers broke off after their heads were passed on",
+            self.broken_answers.clone(),
+        );
         registry.register(
             "server_crashes",
             "Attempts that were in progress at a backend server when it crashed",
--- a/crates/node/src/gateway/mod.rs
+++ b/crates/node/src/gateway/mod.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod authentication;
 mod body;
+mod broken_answers;
 mod connection_pool;
 mod demand;
 mod error;
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -121,6 +121,13 @@
     log::info!(server = id; "older entry of a backend server stands; applied");
 }
 
+/// Logs that a backend server broke off an answer after its head was passed on.
+pub(super) fn broken_answer(gateway: &gateway::Gateway, server: &str) {
+    if let Some(omitted) = gateway.admit_log_line("broken-answer") {
+        log::warn!(server, omitted; "backend server broke off an answer that was being passed on");
+    }
+}
+
 /// Logs that no host sends a request any more, since backend servers crash under it; `source` is
 /// `answer` for an own attempt, or `host` where other hosts saw the last crash.
 pub(super) fn request_blocked(fingerprint: decisions::Fingerprint, source: &'static str) {
--- a/crates/steering/src/gateway/server.rs
+++ b/crates/steering/src/gateway/server.rs
@@ -367,6 +367,11 @@
         self.update_failure_rate(0.0);
     }
 
+    /// Records that it broke off an answer whose attempt counts as a success.
+    pub(super) fn record_broken_answer(&mut self) {
+        self.update_failure_rate(1.0);
+    }
+
     fn update_failure_rate(&mut self, failed: f64) {
         self.failure_rate += SMOOTHING_FACTOR * (failed - self.failure_rate);
     }
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -383,6 +383,21 @@
         self.servers.get(&index)
     }
 
+    /// Records that a backend server broke off an answer after its attempt had ended well; returns its
+    /// name if it still runs.
+    pub fn record_broken_answer(
+        &mut self,
+        index: ServerIndex,
+        incarnation: model::Incarnation,
+    ) -> Option<model::ServerId> {
+        let server = self.servers.get_mut(&index)?;
+        if server.entry.incarnation != incarnation {
+            return None;
+        }
+        server.record_broken_answer();
+        Some(server.entry.id.clone())
+    }
+
     /// Returns a mutable reference to a backend server.
     pub fn get_mut(&mut self, index: ServerIndex) -> Option<&mut server::Server> {
         self.servers.get_mut(&index)
--- a/crates/steering/tests/gateway/server_set.rs
+++ b/crates/steering/tests/gateway/server_set.rs
@@ -201,3 +201,19 @@
         }
     }
 }
+
+/// An answer that breaks off while it is passed on is noticed after its attempt has counted as a success.
+#[test]
+fn a_broken_answer_counts_as_a_failure_of_the_incarnation_that_gave_it() {
+    let mut servers = gateway::ServerSet::default();
+    servers.upsert(fixtures::entry("s1", "a1", 4), ms(0));
+    let (index, _) = servers.iter().next().unwrap();
+    let rate = |servers: &gateway::ServerSet| servers.get(index).unwrap().failure_rate();
+    assert_eq!(servers.record_broken_answer(index, 7), None);
+    assert_eq!(rate(&servers), 0.0);
+    assert_eq!(
+        servers.record_broken_answer(index, 1),
+        Some("s1".to_string())
+    );
+    assert!(rate(&servers) > 0.0);
+}
