Keep a server whose entry another writer has spoilt from counting as left

The comparison with departures would have kept such a server out for some seven seconds, until its status is asked for; before it, the server's next heartbeat brought it back at once.

Cause: a watch reported an entry that can't be decoded as deleted.

Change: it reports it as unreadable. The server gets no requests, as before, but is not remembered as one that has left, unless it was leaving already.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -136,7 +136,9 @@
         // One of hundreds, mostly; the periodic decision follows.
         let is_single_server = matches!(
             update,
-            update::Update::Server(_) | update::Update::ServerRemoved(_)
+            update::Update::Server(_)
+                | update::Update::ServerRemoved(_)
+                | update::Update::ServerUnreadable(_)
         );
         match update {
             update::Update::Policy(policy) => {
@@ -164,6 +166,10 @@
                 let removal = state.dispatcher.servers.remove(&id, now);
                 report::removal(&id, removal);
             }
+            update::Update::ServerUnreadable(id) => {
+                let removal = state.dispatcher.servers.remove_unreadable(&id, now);
+                report::removal(&id, removal);
+            }
             update::Update::Evacuations(data_centres) => {
                 state.evacuations.replace(data_centres);
             }
--- a/crates/node/src/gateway/list_watch.rs
+++ b/crates/node/src/gateway/list_watch.rs
@@ -67,8 +67,10 @@
 pub enum Change<T> {
     /// The object was created or updated.
     Set(T),
-    /// The object with this name was deleted or can no longer be decoded.
+    /// The object with this name was deleted.
     Deleted(String),
+    /// The object with this name can no longer be decoded.
+    Unreadable(String),
 }
 
 /// Changes since a revision, as one watch call returns them.
--- a/crates/node/src/gateway/update.rs
+++ b/crates/node/src/gateway/update.rs
@@ -15,8 +15,10 @@
     RestoredServers(Vec<gateway::ServerEntry>),
     /// A backend server that registered or changed.
     Server(gateway::ServerEntry),
-    /// A backend server whose entry was deleted or became invalid.
+    /// A backend server whose entry was deleted.
     ServerRemoved(model::ServerId),
+    /// A backend server whose entry can no longer be decoded.
+    ServerUnreadable(model::ServerId),
     /// All data centres that must receive no requests.
     Evacuations(collections::BTreeSet<model::DataCentreId>),
     /// The same, in a store that has come back from an older copy.
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -235,6 +235,25 @@
         Removal::Removed
     }
 
+    /// Handles an entry that can no longer be read, as another writer leaves it: it names no server to
+    /// use, but does not tell that its server leaves.
+    pub fn remove_unreadable(&mut self, id: &str, now: model::Time) -> Removal {
+        let index = self.indices.get(id);
+        let server = index.and_then(|index| self.servers.get(index));
+        let stays = server.is_some_and(|server| {
+            server.entry.state == server::ServerState::Ready && !server.is_doubted()
+        });
+        let departed = self.departed.get(id).copied();
+        let removal = self.remove(id, now);
+        if stays {
+            match departed {
+                Some(departed) => _ = self.departed.insert(id.to_string(), departed),
+                None => _ = self.departed.remove(id),
+            }
+        }
+        removal
+    }
+
     /// Applies the complete list of registered backend servers.
     pub fn replace(&mut self, entries: Vec<server::ServerEntry>, now: model::Time) -> Replacement {
         let registered: collections::HashSet<model::ServerId> =
--- a/crates/steering/tests/gateway/entry_order.rs
+++ b/crates/steering/tests/gateway/entry_order.rs
@@ -268,6 +268,22 @@
     assert_eq!(known(&dispatcher), None);
 }
 
+/// Guards against a server that has begun to leave and is forgotten since another writer spoils its
+/// entry.
+#[test]
+fn a_spoilt_entry_tells_nothing_of_whether_its_server_leaves() {
+    for (before, expected) in [
+        (ready(8), EntryOrder::Latest),
+        (draining(8), EntryOrder::AfterDeparture),
+    ] {
+        let mut dispatcher = fixtures::dispatcher();
+        dispatcher.register(before, ms(0));
+        dispatcher.servers.remove_unreadable("s1", ms(100));
+        assert_eq!(known(&dispatcher), None);
+        assert_eq!(dispatcher.register(ready(5), ms(200)), expected);
+    }
+}
+
 /// Guards against memory that grows with the servers that have left.
 #[test]
 fn only_the_last_servers_that_left_are_remembered() {
