Apply an older entry that stands in time, however often it is listed

A host that lists the store again and again would have kept a server's older entry aside for good: each list began its time anew. A draining one of these no longer counts as doubted, either.

--- a/crates/steering/src/gateway/entry_order.rs
+++ b/crates/steering/src/gateway/entry_order.rs
@@ -64,7 +64,7 @@
 
 /// Entries that are older than what is known of their servers.  A server that runs replaces an older
 /// write by its next one, and the entry of one that does not is deleted: one that stands for longer
-/// than it could without a renewal is the truth, whatever its number says.
+/// than it could without a renewal has been renewed, whatever its number says.
 #[derive(Debug, Default)]
 pub(super) struct OutdatedEntries {
     /// With the time since which each stands.
@@ -72,13 +72,13 @@
 }
 
 impl OutdatedEntries {
-    /// Adds the entry that the store has of a server.  Further writes of an incarnation go on with the
-    /// time of the first.
+    /// Adds the entry that the store has of a server.  The time of the first one of an incarnation goes on
+    /// if it is read again, or replaced by a later write.
     pub(super) fn insert(&mut self, entry: server::ServerEntry, now: model::Time) {
         let before = self.entries.get(&entry.id);
         let since = before
             .filter(|(before, _)| {
-                before.incarnation == entry.incarnation && before.sequence < entry.sequence
+                before.incarnation == entry.incarnation && before.sequence <= entry.sequence
             })
             .map_or(now, |(_, since)| *since);
         self.entries.insert(entry.id.clone(), (entry, since));
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -167,9 +167,10 @@
             .into_iter()
             .map(|(entry, since)| {
                 let id = entry.id.clone();
+                let is_ready = entry.state == server::ServerState::Ready;
                 let index = self.apply(entry, now);
                 if let Some(server) = self.servers.get_mut(&index) {
-                    server.doubted_since = Some(since);
+                    server.doubted_since = is_ready.then_some(since);
                 }
                 id
             })
--- a/crates/steering/tests/gateway/entry_order.rs
+++ b/crates/steering/tests/gateway/entry_order.rs
@@ -244,6 +244,22 @@
     assert!(is_usable(&dispatcher, 30_000));
 }
 
+/// Guards against a server that is shut out for as long as hosts list the store again and again.
+#[test]
+fn an_older_entry_that_is_read_again_is_applied_in_time() {
+    let older = gateway::ServerEntry {
+        slots: 90,
+        ..ready(5)
+    };
+    let mut dispatcher = fixtures::dispatcher();
+    dispatcher.register(ready(8), ms(0));
+    for at in (1000..1000 + LASTING_MS).step_by(500) {
+        read(&mut dispatcher, Way::Listed, older.clone(), at);
+        tick(&mut dispatcher, at);
+    }
+    assert_eq!(known(&dispatcher), Some(older));
+}
+
 /// Guards against an older entry that is applied since its removal could not be seen, or that the
 /// store no longer has.
 #[test]
