Take a host's incarnation from its clock, and compare contents only where needed

From a last reading of the change; behaviour stays as it is.

- Each entry read was copied to compare its content, also where its number already decided; that is a function of its own now.
- A check of doubt that is implied by what it guards is gone.

--- a/crates/node/src/gateway/gateway.rs
+++ b/crates/node/src/gateway/gateway.rs
@@ -292,6 +292,11 @@
         state.takes_requests() && self.tasks.are_running()
     }
 
+    /// Start of the process.
+    pub fn incarnation(&self) -> model::Incarnation {
+        self.clock.incarnation()
+    }
+
     /// Whether the host is stopping.
     pub fn is_stopping(&self) -> bool {
         self.lock().stops_at.is_some()
--- a/crates/node/src/gateway/report.rs
+++ b/crates/node/src/gateway/report.rs
@@ -100,7 +100,7 @@
     }
 }
 
-/// Logs an entry that is not the latest word of its backend server.
+/// Logs an entry that may be older than what is known of its backend server.
 pub(super) fn entry_order(id: &str, order: decisions::EntryOrder) {
     match order {
         decisions::EntryOrder::Latest => {}
--- a/crates/soak/src/server.rs
+++ b/crates/soak/src/server.rs
@@ -21,7 +21,7 @@
 /// Slowdown of [`plan::Fault::Slow`].
 const SLOWDOWN: u32 = 12;
 
-/// Every how many answers one is spoilt, other than by a failure.
+/// One in so many answers is spoilt; a server that fails does so with all.
 const SPOILT_EVERY: usize = 4;
 
 /// Statuses with which a backend server fails requests that it has run.
--- a/crates/steering/src/gateway/dispatcher.rs
+++ b/crates/steering/src/gateway/dispatcher.rs
@@ -409,8 +409,7 @@
         let Some(server) = self.servers.get_mut(index) else {
             return false;
         };
-        let ends_doubt = server.is_doubted() && !is_leaving;
-        if ends_doubt && server.entry.incarnation == entry.incarnation {
+        if !is_leaving && server.entry.incarnation == entry.incarnation {
             server.doubted_since = None;
         }
         let value = is_leaving.then_some(());
--- a/crates/steering/src/gateway/entry_order.rs
+++ b/crates/steering/src/gateway/entry_order.rs
@@ -6,15 +6,15 @@
 use super::server;
 use crate::model;
 
-/// What an entry tells beside what is known of its server.
+/// How an entry compares with what is known of its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EntryOrder {
-    /// It is the server's latest word, as far as anyone can tell.
+    /// Nothing shows that the server has written a newer one.
     Latest,
-    /// It says that the server is ready, which was seen to leave, and it is not proven to be a later
-    /// word of it.
+    /// It says that the server is ready, which was seen to leave, and nothing shows that it was
+    /// written after that.
     AfterDeparture,
-    /// It is an earlier word of the server.
+    /// The server has written a newer one.
     Outdated,
 }
 
@@ -38,18 +38,23 @@
     let numbers = entry.sequence.zip(known.sequence);
     let is_later = numbers.is_some_and(|(new, old)| new > old);
     let is_earlier = numbers.is_some_and(|(new, old)| new < old);
-    let has_same_content = server::ServerEntry {
-        sequence: known.sequence,
-        ..entry.clone()
-    } == *known;
     match known.state {
         server::ServerState::Draining if !is_later => EntryOrder::AfterDeparture,
         _ if is_earlier && is_missing => EntryOrder::AfterDeparture,
-        _ if is_earlier && !has_same_content => EntryOrder::Outdated,
+        _ if is_earlier && !has_same_content(entry, known) => EntryOrder::Outdated,
         _ => EntryOrder::Latest,
     }
 }
 
+/// Whether two entries differ in nothing but the number of the write.
+fn has_same_content(entry: &server::ServerEntry, known: &server::ServerEntry) -> bool {
+    let renumbered = server::ServerEntry {
+        sequence: known.sequence,
+        ..entry.clone()
+    };
+    renumbered == *known
+}
+
 /// Compares an entry with the incarnation in which its server was seen to leave.
 pub(super) fn compare_with_departed(
     entry: &server::ServerEntry,
--- a/crates/steering/src/gateway/server_set.rs
+++ b/crates/steering/src/gateway/server_set.rs
@@ -56,7 +56,7 @@
 pub struct Replacement {
     /// Backend servers that it lacks, and what became of them.
     pub missing: Vec<(model::ServerId, Removal)>,
-    /// Backend servers whose entries are not their latest word.
+    /// Backend servers whose entries may be older than what is known of them.
     pub disordered: Vec<(model::ServerId, entry_order::EntryOrder)>,
 }
 
